--- /dev/null
+++ b/crates/seamfront-core/src/capacity.rs
@@ -0,0 +1,223 @@
+//! How many machines of which kind: a pure plan from what the shares tell. Carrying it out is the
+//! leader's business.
+
+use crate::fleet::MachineRecord;
+use crate::port::{MachineView, Need};
+use crate::types::*;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// `rent/<name>`: written before the cloud is asked, so that a successor repeats the same request
+/// under the same name instead of renting twice.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RentRecord {
+    pub share: usize,
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+    pub count: u32,
+}
+
+pub type Offer = (String, String, bool);
+
+pub struct Supply<'a> {
+    pub id: &'a MachineId,
+    pub share: usize,
+    pub record: &'a MachineRecord,
+    pub size: Amounts,
+    pub view: Option<&'a MachineView>,
+    /// Since its record appeared here.
+    pub age: Micros,
+}
+
+impl Supply<'_> {
+    fn up(&self) -> bool {
+        self.view.is_some_and(|v| v.up && !v.bad && !v.leaving)
+    }
+    fn bad(&self) -> bool {
+        self.view.is_some_and(|v| v.bad)
+    }
+    fn idle(&self) -> Option<Micros> {
+        self.view.and_then(|v| v.idle)
+    }
+}
+
+pub struct Picture<'a> {
+    pub now: Micros,
+    pub shares: usize,
+    pub needs: Vec<(usize, &'a Need)>,
+    pub machines: Vec<Supply<'a>>,
+    pub rents: Vec<&'a RentRecord>,
+    pub types: &'a [MachineType],
+    pub refused: &'a BTreeMap<Offer, (Micros, u32)>,
+    pub tuning: &'a Tuning,
+}
+
+#[derive(Debug, Default)]
+pub struct Plan {
+    pub moves: Vec<(MachineId, usize)>,
+    pub returns: Vec<MachineId>,
+    pub rents: Vec<RentRecord>,
+}
+
+/// Waiting work that the machines at hand get through within this time is not rented for.
+const DRAIN_TARGET: Micros = Micros::from_secs(45);
+const RENT_MAX: u32 = 20;
+
+pub fn plan(p: &Picture) -> Plan {
+    let mut plan = Plan::default();
+    let mut needs = p.needs.clone();
+    needs.sort_by_key(|(_, n)| (n.priority, !n.guaranteed, n.left.unwrap_or(Micros::MAX), Micros::ZERO - n.waited));
+    // Room that is coming or lies idle, lowered as needs take it.
+    let mut coming: Vec<(usize, String, String, bool, Amounts)> = Vec::new();
+    for r in &p.rents {
+        if let Some(t) = p.types.iter().find(|t| t.name == r.kind) {
+            for _ in 0..r.count {
+                coming.push((r.share, r.kind.clone(), r.zone.clone(), r.spot, t.size));
+            }
+        }
+    }
+    for m in &p.machines {
+        let boot = p.types.iter().find(|t| t.name == m.record.kind).map_or(Micros::from_secs(60), |t| t.boot);
+        let never = m.view.is_none_or(|v| !v.up) && !m.bad();
+        if never && m.age < boot.times(2) + Micros::from_secs(10) {
+            coming.push((m.share, m.record.kind.clone(), m.record.zone.clone(), m.record.spot, m.size));
+        }
+    }
+    let mut idle: Vec<&Supply> =
+        p.machines.iter().filter(|m| m.up() && m.idle().is_some()).collect();
+    idle.sort_by_key(|m| (!m.view.is_some_and(|v| v.released), m.id));
+    let mut wanted: BTreeSet<&MachineId> = BTreeSet::new();
+    // Waiting work so far, by share, in thousandths of a processor times microseconds.
+    let mut work: BTreeMap<(usize, bool), i64> = BTreeMap::new();
+
+    for (share, need) in &needs {
+        let mut rest = need.count;
+        let allowed = |kind: &str, zone: &str, spot: bool| {
+            (need.spot || !spot)
+                && need.zone.as_deref().is_none_or(|z| z == zone)
+                && need.types.as_ref().is_none_or(|t| t.iter().any(|x| x == kind))
+        };
+        // What is on its way to this share.
+        for c in coming.iter_mut().filter(|c| c.0 == *share) {
+            if rest > 0 && allowed(&c.1, &c.2, c.3) {
+                let n = c.4.fits(need.task).min(i64::from(rest));
+                c.4.sub(need.task.times(n));
+                rest -= n as u32;
+            }
+        }
+        if rest == 0 {
+            continue;
+        }
+        // What lies idle elsewhere.
+        let mut zone_pick: Option<&str> = None;
+        for m in &idle {
+            if rest == 0 || wanted.contains(m.id) || m.share == *share {
+                continue;
+            }
+            if !allowed(&m.record.kind, &m.record.zone, m.record.spot) || m.size.fits(need.task) == 0 {
+                continue;
+            }
+            if need.one_zone && zone_pick.is_some_and(|z| z != m.record.zone) {
+                continue;
+            }
+            if need.task.gpus == 0 && m.size.gpus > 0 && !need.service {
+                continue;
+            }
+            zone_pick = Some(&m.record.zone);
+            wanted.insert(m.id);
+            plan.moves.push((m.id.clone(), *share));
+            rest -= m.size.fits(need.task).min(i64::from(rest)) as u32;
+        }
+        if rest == 0 {
+            continue;
+        }
+        rent_for(p, &mut plan, *share, need, rest, &mut work, &allowed);
+    }
+
+    let keep = p.tuning.idle_keep;
+    for m in &p.machines {
+        let spare = !wanted.contains(m.id) && m.up() && m.idle().is_some_and(|t| t > keep);
+        if m.bad() || spare {
+            plan.returns.push(m.id.clone());
+        }
+    }
+    plan
+}
+
+#[allow(clippy::too_many_arguments)]
+fn rent_for(
+    p: &Picture,
+    plan: &mut Plan,
+    share: usize,
+    need: &Need,
+    rest: u32,
+    work: &mut BTreeMap<(usize, bool), i64>,
+    allowed: &dyn Fn(&str, &str, bool) -> bool,
+) {
+    let mut want = rest;
+    if !need.service {
+        // Slots of the share that could serve it sooner or later.
+        let mut slots: i64 = 0;
+        let mut by_zone: BTreeMap<&str, i64> = BTreeMap::new();
+        for m in p.machines.iter().filter(|m| m.share == share && !m.bad()) {
+            let fit = m.size.fits(need.task);
+            if allowed(&m.record.kind, &m.record.zone, m.record.spot) && fit > 0 {
+                slots += fit;
+                *by_zone.entry(m.record.zone.as_str()).or_default() += fit;
+            }
+        }
+        let unit = need.task.cpus.max(1);
+        let estimate = need.estimate.max(Micros::from_secs(5));
+        let sum = work.entry((share, need.task.gpus > 0)).or_default();
+        *sum += i64::from(need.count) * (estimate.0 / 1_000) * unit / 1_000;
+        let serving = slots * unit;
+        let needed = *sum * 1_000 / (DRAIN_TARGET.0 / 1_000);
+        let short = (needed - serving).max(0) / unit;
+        want = (short.min(i64::from(rest))) as u32;
+        if need.together {
+            let most = if need.one_zone { by_zone.values().max().copied().unwrap_or(0) } else { slots };
+            let lacking = (i64::from(need.count) - most).max(0) as u32;
+            want = if lacking > 0 { lacking } else if want > 0 { need.count } else { 0 };
+        } else if slots == 0 {
+            want = want.max(1);
+        }
+    }
+    while want > 0 {
+        let mut best: Option<(i64, &MachineType, &str, bool, i64)> = None;
+        for t in p.types {
+            let fit = t.size.fits(need.task);
+            if fit <= 0 {
+                continue;
+            }
+            for z in &t.zones {
+                for spot in [true, false] {
+                    let offer = (t.name.clone(), z.clone(), spot);
+                    let refused = p.refused.get(&offer).is_some_and(|r| r.0 > p.now);
+                    if !allowed(&t.name, z, spot) || refused {
+                        continue;
+                    }
+                    let price = if spot { t.spot_price } else { t.price };
+                    let cost = price * 1_000 / fit.min(i64::from(want)).max(1);
+                    // Zones with fewer machines first, so that a spread job finds both.
+                    let here = p.machines.iter().filter(|m| m.record.zone == *z).count() as i64;
+                    let cost = cost * 1_000 + here;
+                    if best.as_ref().is_none_or(|b| cost < b.0) {
+                        best = Some((cost, t, z, spot, fit));
+                    }
+                }
+            }
+        }
+        let Some((_, t, zone, spot, fit)) = best else { return };
+        let count = (i64::from(want) + fit - 1) / fit;
+        let count = (count as u32).min(RENT_MAX);
+        let count = if need.spread { count.min(1) } else { count };
+        let already = plan.rents.iter().filter(|r| r.kind == t.name && r.zone == zone && r.spot == spot).count();
+        if already > 0 {
+            // One request per offer and round; the rest follows when the answer is known.
+            return;
+        }
+        plan.rents.push(RentRecord { share, kind: t.name.clone(), zone: zone.to_owned(), spot, count });
+        want = want.saturating_sub(count * fit as u32);
+    }
+}
--- /dev/null
+++ b/crates/seamfront-core/src/fleet.rs
@@ -0,0 +1,148 @@
+//! Machines of a share, and the evidence of what is on them.
+
+use crate::types::*;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// `machine/<id>`. Its version is part of the machine's token, so rewriting it fences the machine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    /// None while it is being returned to the cloud.
+    pub share: Option<usize>,
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+pub fn machine_key(id: &MachineId) -> String {
+    format!("machine/{id}")
+}
+
+/// Orders sent straight to a worker. While they are unsettled they may still be carried out.
+#[derive(Clone, Debug)]
+pub struct Direct {
+    pub token: u64,
+    pub session: u64,
+    /// No answer came. Settled only by a higher token seen, a new session, or the machine's end.
+    pub unknown: bool,
+    /// The record is being rewritten to raise the token.
+    pub raising: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Machine {
+    pub id: MachineId,
+    pub record: MachineRecord,
+    pub version: u64,
+    pub size: Amounts,
+    pub used: Amounts,
+    /// Tasks placed here.
+    pub tasks: BTreeSet<TaskKey>,
+    /// Not placed by us, yet shown by the worker as not ended: they take room and are stopped.
+    pub strays: BTreeMap<TaskKey, (u64, Amounts)>,
+    pub addr: Option<String>,
+    pub session: u64,
+    pub seq: u64,
+    pub seen_token: u64,
+    pub owned_since: Micros,
+    pub last_report: Option<Micros>,
+    /// Last 200 to a report of it by this holder: its lease counts from before that.
+    pub last_ok: Option<Micros>,
+    pub direct: Option<Direct>,
+    pub notice: Option<Micros>,
+    pub released: Option<Micros>,
+    pub idle_since: Option<Micros>,
+    pub images: Vec<(String, i64)>,
+    /// Different jobs that failed here since something last went well.
+    pub faults: BTreeSet<JobId>,
+    pub suspect: bool,
+    /// Refused for lack of room: our count and the worker's differ; wait for that to settle.
+    pub full_until: Micros,
+    pub expired: bool,
+}
+
+impl Machine {
+    pub fn new(id: MachineId, record: MachineRecord, version: u64, size: Amounts, now: Micros) -> Self {
+        Machine {
+            id,
+            record,
+            version,
+            size,
+            used: Amounts::default(),
+            tasks: BTreeSet::new(),
+            strays: BTreeMap::new(),
+            addr: None,
+            session: 0,
+            seq: 0,
+            seen_token: 0,
+            owned_since: now,
+            last_report: None,
+            last_ok: None,
+            direct: None,
+            notice: None,
+            released: None,
+            idle_since: None,
+            images: Vec::new(),
+            faults: BTreeSet::new(),
+            suspect: false,
+            full_until: Micros::ZERO,
+            expired: false,
+        }
+    }
+
+    /// Both are revisions of one counter, so every later owner's token is higher.
+    pub fn token(&self, claim_version: u64) -> u64 {
+        claim_version.max(self.version)
+    }
+
+    pub fn free(&self) -> Amounts {
+        let mut f = self.size;
+        f.sub(self.used);
+        f
+    }
+
+    pub fn empty(&self) -> bool {
+        self.tasks.is_empty() && self.strays.is_empty() && self.direct.is_none()
+    }
+
+    /// May new tasks be put here?
+    pub fn usable(&self, now: Micros, report: Micros) -> bool {
+        self.record.share.is_some()
+            && self.last_report.is_some_and(|t| now - t <= report.times(2) + Micros::from_secs(1))
+            && self.notice.is_none()
+            && self.released.is_none()
+            && !self.suspect
+            && self.full_until <= now
+    }
+
+    pub fn silent_for(&self, now: Micros) -> Micros {
+        now - self.last_report.unwrap_or(self.owned_since).max(self.owned_since)
+    }
+
+    /// When nothing that was ordered before can still be on it: its lease has run out, be it on
+    /// this holder's last answer or, for what was not heard of yet, on the last that any former
+    /// holder may have given (`acting` after the claim).
+    pub fn lease_over_at(&self, claim_version: u64, lease: Micros, acting: Micros) -> Micros {
+        let former = self.owned_since + acting.with_drift();
+        let last = match self.last_ok {
+            // Once the worker has shown our token it drops whatever a former holder answers.
+            Some(ok) if self.seen_token >= self.token(claim_version) => ok,
+            Some(ok) => ok.max(former),
+            None => former,
+        };
+        last + lease.with_drift() + Micros::from_millis(200)
+    }
+
+    pub fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(i, _)| i == image)
+    }
+
+    /// The worker keeps the most recently used images as far as its cache goes.
+    pub fn used_image(&mut self, image: &str, mb: i64, cache_mb: i64) {
+        self.images.retain(|(i, _)| i != image);
+        self.images.push((image.to_owned(), mb));
+        while self.images.len() > 1 && self.images.iter().map(|i| i.1).sum::<i64>() > cache_mb {
+            self.images.remove(0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/seamfront-core/src/job.rs
@@ -0,0 +1,266 @@
+//! A job as its share's controller runs it, and the one record that a successor reads.
+
+use crate::gang::{Gang, Member};
+use crate::ranges::Ranges;
+use crate::types::*;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Waits for the record that allows it. Nothing was sent.
+    Recording,
+    /// Recorded; an order to start may be on its way.
+    Ordered,
+    Fetching,
+    Waiting,
+    Running,
+    Saving,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    Cancelled,
+    Preempted,
+    /// The machine is being left: notice, return or suspicion.
+    Moving,
+    /// Its gang is drained for another member's sake.
+    Peers,
+    Stray,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Stop {
+    pub cause: Cause,
+    pub grace: Micros,
+    pub since: Micros,
+}
+
+/// A task that is, or may be, on a machine. It holds its place, quota, zone and number until
+/// evidence says that it is gone.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    pub machine: MachineId,
+    pub attempt: u64,
+    pub phase: Phase,
+    /// The record generation that allows it.
+    pub gen: u64,
+    pub since: Micros,
+    /// The worker's session that the order was meant for.
+    pub session: u64,
+    /// Gang members with a cached image start later, so as not to wait out `gang_wait_s`.
+    pub not_before: Micros,
+    pub running_since: Option<Micros>,
+    pub stop: Option<Stop>,
+}
+
+/// Where a job's record stands. Only the holder writes it, always on the version that it knows.
+#[derive(Clone, Debug, Default)]
+pub struct RecordState {
+    /// None: unknown since a write went unanswered; it must be read before the next.
+    pub version: Option<u64>,
+    /// Raised with each change that must be recorded.
+    pub gen: u64,
+    pub written: u64,
+    pub in_flight: bool,
+}
+
+impl RecordState {
+    pub fn touch(&mut self) -> u64 {
+        self.gen += 1;
+        self.gen
+    }
+
+    pub fn dirty(&self) -> bool {
+        self.gen > self.written
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// All tasks are done, but this is not recorded yet.
+    Completing,
+    /// `end/` says done.
+    Done,
+    /// `end/` says cancelled; what is left is being stopped.
+    Cancelled,
+}
+
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub spec: Rc<JobSpec>,
+    /// Version of `job/<id>`.
+    pub version: u64,
+    pub ending: Option<Ending>,
+    pub record: RecordState,
+    /// Attempt numbers are never used twice within a job; for gangs the epoch serves.
+    pub next_attempt: u64,
+    pub done: Ranges,
+    /// The record generation that holds the latest `done`.
+    pub done_gen: u64,
+    pub tasks: BTreeMap<u32, Placement>,
+    pub gang: Option<Gang>,
+    pub parks: u32,
+    pub paused_until: Micros,
+    /// Machines that this job should not use for a while, by when.
+    pub avoid: BTreeMap<MachineId, Micros>,
+    /// Errors in a row, without a completed or well started task between them.
+    pub errors: u32,
+    pub waiting_since: Micros,
+}
+
+impl Job {
+    pub fn new(spec: Rc<JobSpec>, version: u64, now: Micros) -> Job {
+        let gang = (spec.kind == Kind::Gang).then(|| Gang::new(spec.tasks));
+        Job {
+            spec,
+            version,
+            ending: None,
+            record: RecordState { version: Some(0), ..Default::default() },
+            next_attempt: 1,
+            done: Ranges::default(),
+            done_gen: 0,
+            tasks: BTreeMap::new(),
+            gang,
+            parks: 0,
+            paused_until: Micros::ZERO,
+            avoid: BTreeMap::new(),
+            errors: 0,
+            waiting_since: now,
+        }
+    }
+
+    pub fn live(&self) -> bool {
+        self.ending.is_none()
+    }
+
+    /// Tasks neither done nor placed.
+    pub fn unplaced(&self) -> u32 {
+        if !self.live() {
+            return 0;
+        }
+        self.spec.tasks - self.done.count() - self.tasks.len() as u32
+    }
+
+    /// The next `n` task numbers to start, lowest first, so that the done set stays compact.
+    pub fn next_tasks(&self, n: u32) -> Vec<u32> {
+        (self.done.prefix()..self.spec.tasks)
+            .filter(|i| !self.tasks.contains_key(i) && !self.done.contains(*i))
+            .take(n as usize)
+            .collect()
+    }
+
+    pub fn take_attempt(&mut self) -> u64 {
+        let a = self.next_attempt;
+        self.next_attempt += 1;
+        a
+    }
+
+    /// How many more tasks may be placed before the record could outgrow a value.
+    pub fn record_room(&self, value_bytes: usize) -> u32 {
+        let per_task = 24 + 40;
+        let used = 400 + self.done.pieces() * 14 + self.tasks.len() * per_task;
+        (value_bytes.saturating_sub(used) / per_task) as u32
+    }
+
+    pub fn running(&self) -> u32 {
+        self.tasks.values().filter(|p| p.phase == Phase::Running && p.stop.is_none()).count() as u32
+    }
+
+    /// Zones that its tasks take up, with how many.
+    pub fn zones<'a>(&self, zone_of: impl Fn(&MachineId) -> Option<&'a str>) -> BTreeMap<&'a str, u32> {
+        let mut zones = BTreeMap::new();
+        for p in self.tasks.values() {
+            if let Some(z) = zone_of(&p.machine) {
+                *zones.entry(z).or_insert(0) += 1;
+            }
+        }
+        zones
+    }
+
+    pub fn to_record(&self) -> WorkRecord {
+        let mut placed: BTreeMap<MachineId, Vec<(u32, u32, u64)>> = BTreeMap::new();
+        for (i, p) in &self.tasks {
+            let runs = placed.entry(p.machine.clone()).or_default();
+            match runs.last_mut() {
+                Some(r) if r.1 == *i && r.2 == p.attempt => r.1 = i + 1,
+                _ => runs.push((*i, i + 1, p.attempt)),
+            }
+        }
+        let attempts = self.gang.iter().flat_map(|g| g.attempts.iter().enumerate());
+        WorkRecord {
+            team: self.spec.team.clone(),
+            need: self.spec.need,
+            epoch: self.gang.as_ref().map_or(0, |g| g.epoch),
+            draining: self.gang.as_ref().is_some_and(|g| g.draining),
+            attempts: attempts.filter(|a| *a.1 > 0).map(|a| (a.0 as u32, *a.1)).collect(),
+            next_attempt: self.next_attempt,
+            done: self.done.clone(),
+            placed,
+            parks: self.parks,
+        }
+    }
+
+    /// Takes over what the former holder recorded. Everything placed may be on its machine.
+    pub fn adopt(&mut self, record: WorkRecord, version: u64, now: Micros) {
+        self.record = RecordState { version: Some(version), ..Default::default() };
+        self.next_attempt = record.next_attempt;
+        self.done = record.done;
+        self.parks = record.parks;
+        for (machine, runs) in record.placed {
+            for (from, to, attempt) in runs {
+                for i in from..to.min(self.spec.tasks) {
+                    self.tasks.insert(
+                        i,
+                        Placement {
+                            machine: machine.clone(),
+                            attempt,
+                            phase: Phase::Ordered,
+                            gen: 0,
+                            since: now,
+                            session: 0,
+                            not_before: Micros::ZERO,
+                            running_since: None,
+                            stop: None,
+                        },
+                    );
+                }
+            }
+        }
+        if let Some(g) = &mut self.gang {
+            g.epoch = record.epoch.max(1);
+            for (i, a) in record.attempts {
+                if let Some(slot) = g.attempts.get_mut(i as usize) {
+                    *slot = a;
+                }
+            }
+            g.draining = record.draining;
+            for i in self.tasks.keys() {
+                g.members[*i as usize] = if record.draining { Member::Preempting } else { Member::Pending };
+            }
+        }
+    }
+}
+
+/// `work/<share>/<job>`: one record per job, whatever its kind, arrays and services as a class.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WorkRecord {
+    pub team: String,
+    pub need: Amounts,
+    #[serde(rename = "e")]
+    pub epoch: u64,
+    #[serde(rename = "dr")]
+    pub draining: bool,
+    #[serde(rename = "a")]
+    pub attempts: Vec<(u32, u32)>,
+    #[serde(rename = "n")]
+    pub next_attempt: u64,
+    #[serde(rename = "d")]
+    pub done: Ranges,
+    /// By machine: runs of task numbers [from, to) with one attempt.
+    #[serde(rename = "p")]
+    pub placed: BTreeMap<MachineId, Vec<(u32, u32, u64)>>,
+    #[serde(rename = "pk")]
+    pub parks: u32,
+}
--- /dev/null
+++ b/crates/seamfront-core/src/leader.rs
@@ -0,0 +1,548 @@
+//! The leader: the only one to act on the cloud and to assign machines to shares.
+
+use crate::capacity::{self, Offer, Picture, RentRecord, Supply};
+use crate::engine::{Engine, Pending};
+use crate::fleet::{machine_key, MachineRecord};
+use crate::port::*;
+use crate::types::*;
+use std::collections::{BTreeMap, BTreeSet};
+use tracing::{debug, info, warn};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RentStep {
+    /// Its name is being recorded.
+    Recording,
+    /// Recorded; the cloud may be asked.
+    Ready,
+    Asking,
+    /// Answered; the machines' records are being written.
+    Settling,
+}
+
+#[derive(Clone, Debug)]
+struct Rent {
+    record: RentRecord,
+    step: RentStep,
+    retry_at: Micros,
+    got: Vec<MachineId>,
+}
+
+#[derive(Clone, Debug)]
+pub struct ShareView {
+    pub at: Micros,
+    pub needs: Vec<Need>,
+    pub machines: BTreeMap<MachineId, MachineView>,
+}
+
+pub struct Leader {
+    pub version: u64,
+    /// Requests left over by a former leader have been read.
+    loaded: bool,
+    loading: bool,
+    pub views: Vec<Option<ShareView>>,
+    rents: BTreeMap<String, Rent>,
+    counter: u64,
+    refused: BTreeMap<Offer, (Micros, u32)>,
+    /// Names that the cloud told us are gone; its list lags.
+    gone: BTreeMap<MachineId, Micros>,
+    listing: Vec<Listed>,
+    list_busy: bool,
+    list_next: Micros,
+    types_busy: bool,
+    types_next: Micros,
+    delete_busy: bool,
+    delete_next: Micros,
+    plan_next: Micros,
+    move_next: Micros,
+    writing: BTreeSet<MachineId>,
+    cloud_rest: Micros,
+}
+
+const TICK: Micros = Micros::from_millis(250);
+/// A share's word counts as long as it is not older than this.
+const VIEW_AGE: Micros = Micros::from_secs(4);
+const REFUSED_FOR: Micros = Micros::from_secs(15);
+
+impl Leader {
+    pub fn new(version: u64, now: Micros, shares: usize) -> Leader {
+        Leader {
+            version,
+            loaded: false,
+            loading: false,
+            views: vec![None; shares],
+            rents: BTreeMap::new(),
+            counter: 0,
+            refused: BTreeMap::new(),
+            gone: BTreeMap::new(),
+            listing: Vec::new(),
+            list_busy: false,
+            list_next: now,
+            types_busy: false,
+            types_next: now,
+            delete_busy: false,
+            delete_next: now,
+            plan_next: now,
+            move_next: now,
+            writing: BTreeSet::new(),
+            cloud_rest: now,
+        }
+    }
+}
+
+pub enum LeaderCall {
+    Rents { entries: Vec<Entry> },
+    RecordRent { name: String },
+    SettleRent { name: String },
+    Machines { ids: Vec<MachineId> },
+    Forget { ids: Vec<MachineId> },
+    TypesWritten,
+    Types,
+    List,
+    Rent { name: String },
+    Delete { ids: Vec<MachineId> },
+}
+
+impl Engine {
+    fn leader_fence(&self) -> Option<(String, u64)> {
+        self.leader.as_ref().map(|l| ("leader".to_owned(), l.version))
+    }
+
+    fn leader_commit(&mut self, mut when: Vec<(String, u64)>, apply: Vec<Write>, call: LeaderCall) {
+        let Some(fence) = self.leader_fence() else { return };
+        let version = fence.1;
+        when.insert(0, fence);
+        self.state(StateCall::Commit { when, apply }, Pending::Leader { version, call });
+    }
+
+    fn leader_cloud(&mut self, request: CloudCall, call: LeaderCall) {
+        let Some(version) = self.leader.as_ref().map(|l| l.version) else { return };
+        self.cloud(request, Pending::Leader { version, call });
+    }
+
+    pub(crate) fn leader_tick(&mut self) {
+        let slot = self.leader_slot();
+        if !self.acting(slot) {
+            return;
+        }
+        let now = self.now;
+        let Some(l) = self.leader.as_mut() else { return };
+        if !l.loaded {
+            if !l.loading {
+                l.loading = true;
+                let version = l.version;
+                let pending = Pending::Leader { version, call: LeaderCall::Rents { entries: Vec::new() } };
+                self.state(StateCall::List { prefix: "rent/".to_owned(), after: None }, pending);
+            }
+            return;
+        }
+        if !l.types_busy && now >= l.types_next && now >= l.cloud_rest {
+            l.types_busy = true;
+            self.leader_cloud(CloudCall::Types, LeaderCall::Types);
+        }
+        let Some(l) = self.leader.as_mut() else { return };
+        if !l.list_busy && now >= l.list_next && now >= l.cloud_rest {
+            l.list_busy = true;
+            let after = l.listing.last().map(|m| m.id.clone());
+            self.leader_cloud(CloudCall::List { after }, LeaderCall::List);
+        }
+        self.rents_tick();
+        self.deletes_tick();
+        let Some(l) = self.leader.as_mut() else { return };
+        if now >= l.plan_next {
+            l.plan_next = now + TICK;
+            l.gone.retain(|_, t| now - *t < Micros::from_secs(180));
+            self.carry_out_plan();
+        }
+    }
+
+    fn rents_tick(&mut self) {
+        let now = self.now;
+        let Some(l) = self.leader.as_mut() else { return };
+        if now < l.cloud_rest {
+            return;
+        }
+        let due = l.rents.iter().find(|(_, r)| r.step == RentStep::Ready && r.retry_at <= now);
+        if let Some(name) = due.map(|d| d.0.clone()) {
+            if let Some(r) = l.rents.get_mut(&name) {
+                r.step = RentStep::Asking;
+                l.cloud_rest = now + Micros::from_millis(250);
+                let (kind, zone) = (r.record.kind.clone(), r.record.zone.clone());
+                let request = CloudCall::Rent { name: name.clone(), kind, zone, spot: r.record.spot, count: r.record.count };
+                self.leader_cloud(request, LeaderCall::Rent { name });
+            }
+        }
+        let Some(l) = self.leader.as_ref() else { return };
+        let settle: Vec<String> = l
+            .rents
+            .iter()
+            .filter(|(_, r)| r.step == RentStep::Settling && r.retry_at <= now)
+            .map(|r| r.0.clone())
+            .collect();
+        for name in settle {
+            self.settle_rent(&name);
+        }
+    }
+
+    /// One transaction gives the machines their records and forgets the request.
+    fn settle_rent(&mut self, name: &str) {
+        let now = self.now;
+        let known = &self.machines;
+        let Some(r) = self.leader.as_mut().and_then(|l| l.rents.get_mut(name)) else { return };
+        r.retry_at = now + Micros::from_secs(3);
+        let new: Vec<MachineId> = r.got.iter().filter(|id| !known.contains_key(id)).cloned().collect();
+        let record = MachineRecord {
+            share: Some(r.record.share),
+            kind: r.record.kind.clone(),
+            zone: r.record.zone.clone(),
+            spot: r.record.spot,
+        };
+        let value = serde_json::to_value(&record).unwrap_or_default();
+        let when = new.iter().map(|id| (machine_key(id), 0)).collect();
+        let mut apply: Vec<Write> =
+            new.iter().map(|id| Write::Put { key: machine_key(id), value: value.clone(), lease: None }).collect();
+        apply.push(Write::Delete { key: format!("rent/{name}") });
+        self.leader_commit(when, apply, LeaderCall::SettleRent { name: name.to_owned() });
+    }
+
+    fn deletes_tick(&mut self) {
+        let now = self.now;
+        let Some(l) = self.leader.as_mut() else { return };
+        if l.delete_busy || now < l.delete_next || now < l.cloud_rest {
+            return;
+        }
+        let ids: Vec<MachineId> = self
+            .machines
+            .iter()
+            .filter(|(_, (r, _))| r.share.is_none())
+            .map(|(id, _)| id.clone())
+            .take(self.cfg.txn_ops.min(100))
+            .collect();
+        if ids.is_empty() {
+            return;
+        }
+        l.delete_busy = true;
+        l.delete_next = now + Micros::from_millis(500);
+        info!(machines = ?ids.iter().map(|i| i.as_str()).collect::<Vec<_>>(), "returning machines");
+        self.leader_cloud(CloudCall::Delete { machines: ids.clone() }, LeaderCall::Delete { ids });
+    }
+
+    fn carry_out_plan(&mut self) {
+        let now = self.now;
+        let Some(l) = self.leader.as_ref() else { return };
+        let mut needs = Vec::new();
+        let mut heard = true;
+        for (k, v) in l.views.iter().enumerate() {
+            match v.as_ref().filter(|v| now - v.at < VIEW_AGE) {
+                Some(v) => needs.extend(v.needs.iter().map(|n| (k, n))),
+                None => heard = false,
+            }
+        }
+        let mut machines = Vec::new();
+        for (id, (record, version)) in &self.machines {
+            let Some(share) = record.share else { continue };
+            if l.writing.contains(id) {
+                continue;
+            }
+            let view = l.views.get(share).and_then(|v| v.as_ref()).filter(|v| now - v.at < VIEW_AGE);
+            let view = view.and_then(|v| v.machines.get(id)).filter(|v| v.version == *version);
+            let age = now - self.machine_since.get(id).copied().unwrap_or(now);
+            machines.push(Supply { id, share, record, size: self.type_size(&record.kind), view, age });
+        }
+        let picture = Picture {
+            now,
+            shares: l.views.len(),
+            needs,
+            machines,
+            rents: l.rents.values().map(|r| &r.record).collect(),
+            types: &self.types,
+            refused: &l.refused,
+            tuning: &self.cfg.tuning,
+        };
+        let mut plan = capacity::plan(&picture);
+        let released: BTreeSet<MachineId> = picture
+            .machines
+            .iter()
+            .filter(|m| m.view.is_some_and(|v| v.released || v.bad))
+            .map(|m| m.id.clone())
+            .collect();
+        drop(picture);
+        if !heard {
+            // A share that nobody speaks for may need what looks idle.
+            plan.returns.retain(|id| released.contains(id));
+        }
+        let asked_before = l.rents.len() >= 6;
+        if !asked_before && !self.types.is_empty() {
+            for r in plan.rents {
+                self.start_rent(r);
+            }
+        }
+        let may_ask = self.leader.as_ref().is_some_and(|l| now >= l.move_next);
+        let mut asks: BTreeMap<usize, Vec<MachineId>> = BTreeMap::new();
+        let mut writes: Vec<(MachineId, Option<usize>)> = Vec::new();
+        let moves = plan.moves.into_iter().map(|(id, to)| (id, Some(to)));
+        let returns = plan.returns.into_iter().map(|id| (id, None));
+        for (id, to) in moves.chain(returns) {
+            if released.contains(&id) {
+                writes.push((id, to));
+            } else if let Some(share) = self.machines.get(&id).and_then(|m| m.0.share).filter(|_| may_ask) {
+                asks.entry(share).or_default().push(id);
+            }
+        }
+        if may_ask && !asks.is_empty() {
+            if let Some(l) = self.leader.as_mut() {
+                l.move_next = now + self.cfg.tuning.move_every;
+            }
+        }
+        for (share, machines) in asks {
+            self.to_holder(share, MeshMessage::Release { share, machines });
+        }
+        writes.truncate(self.cfg.txn_ops);
+        self.assign(writes);
+    }
+
+    /// Moves released machines, all in one transaction: a gang gets its machines together.
+    fn assign(&mut self, writes: Vec<(MachineId, Option<usize>)>) {
+        let (mut when, mut apply, mut ids) = (Vec::new(), Vec::new(), Vec::new());
+        for (id, to) in writes {
+            let Some((record, version)) = self.machines.get(&id) else { continue };
+            let record = MachineRecord { share: to, ..record.clone() };
+            info!(machine = %id, to = ?to, "machine assigned");
+            when.push((machine_key(&id), *version));
+            let value = serde_json::to_value(&record).unwrap_or_default();
+            apply.push(Write::Put { key: machine_key(&id), value, lease: None });
+            ids.push(id);
+        }
+        if ids.is_empty() {
+            return;
+        }
+        if let Some(l) = self.leader.as_mut() {
+            l.writing.extend(ids.iter().cloned());
+        }
+        self.leader_commit(when, apply, LeaderCall::Machines { ids });
+    }
+
+    fn start_rent(&mut self, record: RentRecord) {
+        let Some(l) = self.leader.as_mut() else { return };
+        l.counter += 1;
+        // Unique for ever: no two leaders have the same claim version.
+        let name = format!("r-{}-{}", l.version, l.counter);
+        info!(name, kind = %record.kind, zone = %record.zone, spot = record.spot, count = record.count, share = record.share, "renting");
+        let value = serde_json::to_value(&record).unwrap_or_default();
+        let rent = Rent { record, step: RentStep::Recording, retry_at: Micros::ZERO, got: Vec::new() };
+        l.rents.insert(name.clone(), rent);
+        let key = format!("rent/{name}");
+        let apply = vec![Write::Put { key: key.clone(), value, lease: None }];
+        self.leader_commit(vec![(key, 0)], apply, LeaderCall::RecordRent { name });
+    }
+
+    /// Machines that the list shows and nobody has a record of: late requests, or those of the
+    /// time before us. They go where they are needed, and are returned if nobody does.
+    fn adopt(&mut self, listed: &[Listed]) {
+        let Some(l) = self.leader.as_ref() else { return };
+        let mut counts: Vec<BTreeMap<(String, String, bool), usize>> = vec![BTreeMap::new(); self.cfg.members.len()];
+        for (r, _) in self.machines.values() {
+            if let Some(s) = r.share {
+                *counts[s].entry((r.kind.clone(), r.zone.clone(), r.spot)).or_default() += 1;
+            }
+        }
+        let mut pending: BTreeSet<&MachineId> = l.rents.values().flat_map(|r| r.got.iter()).collect();
+        pending.extend(l.writing.iter());
+        let asking = l.rents.values().any(|r| r.step == RentStep::Asking);
+        let mut new: Vec<(MachineId, MachineRecord)> = Vec::new();
+        let mut failed: Vec<(MachineId, Option<usize>)> = Vec::new();
+        for m in listed {
+            if l.gone.contains_key(&m.id) || pending.contains(&m.id) {
+                continue;
+            }
+            if self.machines.contains_key(&m.id) {
+                if m.state == ListedState::Failed && self.machines[&m.id].0.share.is_some() {
+                    failed.push((m.id.clone(), None));
+                }
+                continue;
+            }
+            if asking && m.age < Micros::from_secs(30) {
+                continue;
+            }
+            let key = (m.kind.clone(), m.zone.clone(), m.spot);
+            let all = |c: &BTreeMap<_, usize>| c.values().sum::<usize>();
+            let least = (0..counts.len()).min_by_key(|s| (counts[*s].get(&key).copied().unwrap_or(0), all(&counts[*s])));
+            let share = least.filter(|_| m.state != ListedState::Failed);
+            if let Some(s) = share {
+                *counts[s].entry(key).or_default() += 1;
+            }
+            info!(machine = %m.id, share = ?share, "adopting a listed machine");
+            new.push((m.id.clone(), MachineRecord { share, kind: m.kind.clone(), zone: m.zone.clone(), spot: m.spot }));
+        }
+        self.assign(failed);
+        for chunk in new.chunks(self.cfg.txn_ops.clamp(1, 20)) {
+            let when = chunk.iter().map(|(id, _)| (machine_key(id), 0)).collect();
+            let apply = chunk
+                .iter()
+                .map(|(id, r)| Write::Put { key: machine_key(id), value: serde_json::to_value(r).unwrap_or_default(), lease: None })
+                .collect();
+            let ids: Vec<MachineId> = chunk.iter().map(|c| c.0.clone()).collect();
+            if let Some(l) = self.leader.as_mut() {
+                l.writing.extend(ids.iter().cloned());
+            }
+            self.leader_commit(when, apply, LeaderCall::Machines { ids });
+        }
+    }
+
+    pub(crate) fn share_told(&mut self, share: usize, needs: Vec<Need>, machines: Vec<MachineView>) {
+        let now = self.now;
+        if let Some(v) = self.leader.as_mut().and_then(|l| l.views.get_mut(share)) {
+            let machines = machines.into_iter().map(|m| (m.id.clone(), m)).collect();
+            *v = Some(ShareView { at: now, needs, machines });
+        }
+    }
+
+    // ---- answers -------------------------------------------------------------------------
+
+    pub(crate) fn leader_state_reply(&mut self, version: u64, call: LeaderCall, reply: StateReply) {
+        let now = self.now;
+        if let StateReply::Conflict { failed } = &reply {
+            if failed.iter().any(|f| f == "leader") && self.leader.as_ref().is_some_and(|l| l.version == version) {
+                let slot = self.leader_slot();
+                return self.drop_slot(slot, "claim proven lost");
+            }
+        }
+        let Some(l) = self.leader.as_mut().filter(|l| l.version == version) else { return };
+        match call {
+            LeaderCall::Rents { mut entries } => {
+                let (done, after) = match reply {
+                    StateReply::Page { entries: page, more, .. } => {
+                        entries.extend(page);
+                        (!more, entries.last().map(|e| e.key.clone()))
+                    }
+                    _ => (false, entries.last().map(|e| e.key.clone())),
+                };
+                if !done {
+                    let pending = Pending::Leader { version, call: LeaderCall::Rents { entries } };
+                    return self.state(StateCall::List { prefix: "rent/".to_owned(), after }, pending);
+                }
+                for e in entries {
+                    let name = e.key.strip_prefix("rent/").unwrap_or(&e.key).to_owned();
+                    match serde_json::from_value(e.value) {
+                        Ok(record) => {
+                            info!(name, "repeating a former leader's request");
+                            let rent = Rent { record, step: RentStep::Ready, retry_at: now, got: Vec::new() };
+                            l.rents.insert(name, rent);
+                        }
+                        Err(e) => warn!(name, %e, "unreadable rent record"),
+                    }
+                }
+                l.loaded = true;
+            }
+            LeaderCall::RecordRent { name } => match reply {
+                StateReply::Committed { .. } => {
+                    if let Some(r) = l.rents.get_mut(&name) {
+                        r.step = RentStep::Ready;
+                    }
+                }
+                // Whether it was recorded is unknown: nothing was asked of the cloud under this
+                // name, and a successor that finds it may ask.
+                _ => {
+                    l.rents.remove(&name);
+                }
+            },
+            LeaderCall::SettleRent { name } => match reply {
+                StateReply::Committed { .. } => {
+                    if let Some(r) = l.rents.remove(&name) {
+                        debug!(name, machines = r.got.len(), "request settled");
+                    }
+                }
+                _ => {
+                    if let Some(r) = l.rents.get_mut(&name) {
+                        r.retry_at = now + Micros::from_millis(500);
+                    }
+                }
+            },
+            LeaderCall::Machines { ids } => {
+                for id in ids {
+                    l.writing.remove(&id);
+                }
+            }
+            LeaderCall::Forget { .. } | LeaderCall::TypesWritten => {}
+            LeaderCall::Types | LeaderCall::List | LeaderCall::Rent { .. } | LeaderCall::Delete { .. } => {}
+        }
+    }
+
+    pub(crate) fn leader_cloud_reply(&mut self, version: u64, call: LeaderCall, reply: CloudReply) {
+        let now = self.now;
+        let lag = self.cfg.list_lag;
+        let Some(l) = self.leader.as_mut().filter(|l| l.version == version) else { return };
+        if matches!(reply, CloudReply::Failed) {
+            l.cloud_rest = now + Micros::from_millis(700);
+        }
+        match (call, reply) {
+            (LeaderCall::Types, reply) => {
+                l.types_busy = false;
+                l.types_next = now + Micros::from_secs(2);
+                if let CloudReply::Types(types) = reply {
+                    l.types_next = now + Micros::from_secs(30);
+                    let value = serde_json::to_value(&types).unwrap_or_default();
+                    self.types_known(types);
+                    let apply = vec![Write::Put { key: "types".to_owned(), value, lease: None }];
+                    self.leader_commit(vec![], apply, LeaderCall::TypesWritten);
+                }
+            }
+            (LeaderCall::List, reply) => {
+                l.list_busy = false;
+                match reply {
+                    CloudReply::Page { machines, more } => {
+                        l.listing.extend(machines);
+                        if !more {
+                            l.list_next = now + lag.over(3).max(Micros::from_secs(2));
+                            let listed = std::mem::take(&mut l.listing);
+                            self.adopt(&listed);
+                        }
+                    }
+                    _ => {
+                        l.listing.clear();
+                        l.list_next = now + Micros::from_secs(2);
+                    }
+                }
+            }
+            (LeaderCall::Rent { name }, reply) => {
+                let Some(r) = l.rents.get_mut(&name) else { return };
+                let offer = (r.record.kind.clone(), r.record.zone.clone(), r.record.spot);
+                match reply {
+                    CloudReply::Rented(ids) => {
+                        info!(name, machines = ?ids.iter().map(|i| i.as_str()).collect::<Vec<_>>(), "rented");
+                        if (ids.len() as u32) < r.record.count {
+                            l.refused.insert(offer, (now + REFUSED_FOR, 1));
+                        } else {
+                            l.refused.remove(&offer);
+                        }
+                        r.got = ids;
+                    }
+                    CloudReply::NoCapacity => {
+                        let times = l.refused.get(&offer).map_or(1, |r| (r.1 + 1).min(4));
+                        info!(name, kind = %offer.0, zone = %offer.1, spot = offer.2, times, "no capacity");
+                        l.refused.insert(offer, (now + REFUSED_FOR.times(i64::from(times)), times));
+                    }
+                    _ => {
+                        // Unknown: the same name again, which rents nothing twice.
+                        r.step = RentStep::Ready;
+                        r.retry_at = now + Micros::from_secs(1);
+                        return;
+                    }
+                }
+                r.step = RentStep::Settling;
+                r.retry_at = now;
+            }
+            (LeaderCall::Delete { ids }, reply) => {
+                l.delete_busy = false;
+                if matches!(reply, CloudReply::Deleted) {
+                    for id in &ids {
+                        l.gone.insert(id.clone(), now);
+                    }
+                    let apply = ids.iter().map(|id| Write::Delete { key: machine_key(id) }).collect();
+                    // The owners learn of it from the records' removal; ours may know at once.
+                    self.leader_commit(vec![], apply, LeaderCall::Forget { ids });
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/seamfront-core/src/lib.rs
@@ -0,0 +1,21 @@
+//! The scheduling core of seamfront: a deterministic engine without input or output, clock or
+//! threads. `docs/design.md` is the map.
+#![forbid(unsafe_code)]
+
+pub mod capacity;
+pub mod engine;
+pub mod fleet;
+pub mod gang;
+pub mod job;
+pub mod leader;
+pub mod link;
+pub mod placement;
+pub mod port;
+pub mod quota;
+pub mod ranges;
+mod rounds;
+pub mod share;
+pub mod types;
+pub mod users;
+
+pub use engine::Engine;
--- /dev/null
+++ b/crates/seamfront-core/src/quota.rs
@@ -0,0 +1,71 @@
+//! Teams' use, limits and guarantees. A team belongs to one share, so its holder alone counts.
+
+use crate::job::Job;
+use crate::types::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Clone, Debug, Default)]
+pub struct Quota {
+    used: BTreeMap<String, Amounts>,
+}
+
+impl Quota {
+    pub fn take(&mut self, team: &str, need: Amounts) {
+        self.used.entry(team.to_owned()).or_default().add(need);
+    }
+
+    pub fn give(&mut self, team: &str, need: Amounts) {
+        if let Some(u) = self.used.get_mut(team) {
+            u.sub(need);
+        }
+    }
+
+    pub fn used(&self, team: &str) -> Amounts {
+        self.used.get(team).copied().unwrap_or_default()
+    }
+
+    /// How many more tasks of this size the team's limit allows now.
+    pub fn room(&self, team: &Team, need: Amounts) -> i64 {
+        let used = self.used(&team.name);
+        limit_left(team.limit, used).fits(need)
+    }
+}
+
+fn limit_left(limit: Amounts, used: Amounts) -> Amounts {
+    let left = |l: i64, u: i64| if l <= 0 { i64::MAX } else { (l - u).max(0) };
+    Amounts {
+        cpus: left(limit.cpus, used.cpus),
+        gpus: left(limit.gpus, used.gpus),
+        ram: i64::MAX,
+    }
+}
+
+/// Can this job ever run within its team's limit? One task of an array, all tasks of the others.
+pub fn within_limit(team: &Team, spec: &JobSpec) -> bool {
+    let n = if spec.kind == Kind::Array { 1 } else { i64::from(spec.tasks) };
+    limit_left(team.limit, Amounts::default()).fits(spec.need) >= n
+}
+
+/// Jobs that lie within their team's guarantee together with the team's earlier unfinished jobs.
+/// A resource that the guarantee does not name is not measured; one that it names must be used.
+pub fn guaranteed<'a>(
+    teams: &[Team],
+    jobs: impl Iterator<Item = &'a Job>,
+) -> BTreeSet<JobId> {
+    let mut by_age: Vec<&Job> = jobs.filter(|j| j.live()).collect();
+    by_age.sort_by(|a, b| (a.spec.submitted, &a.spec.id).cmp(&(b.spec.submitted, &b.spec.id)));
+    let mut sums: BTreeMap<&str, Amounts> = BTreeMap::new();
+    let mut inside = BTreeSet::new();
+    for j in by_age {
+        let Some(team) = teams.iter().find(|t| t.name == j.spec.team) else { continue };
+        let g = team.guarantee;
+        let sum = sums.entry(team.name.as_str()).or_default();
+        sum.add(j.spec.need.times(i64::from(j.spec.tasks)));
+        let ok = |have: i64, sum: i64| have <= 0 || sum <= have;
+        let named = (g.cpus > 0 && j.spec.need.cpus > 0) || (g.gpus > 0 && j.spec.need.gpus > 0);
+        if named && ok(g.cpus, sum.cpus) && ok(g.gpus, sum.gpus) {
+            inside.insert(j.spec.id.clone());
+        }
+    }
+    inside
+}
--- /dev/null
+++ b/crates/seamfront-core/src/ranges.rs
@@ -0,0 +1,75 @@
+//! A set of task numbers kept as ranges: tasks end nearly in order, so a job of 100,000 tasks
+//! still fits into one small record.
+
+use serde::{Deserialize, Serialize};
+
+/// Sorted, disjoint, non-adjacent half-open ranges.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Ranges(Vec<(u32, u32)>);
+
+impl Ranges {
+    pub fn full(n: u32) -> Ranges {
+        Ranges(vec![(0, n)])
+    }
+
+    pub fn contains(&self, x: u32) -> bool {
+        let at = self.0.partition_point(|r| r.1 <= x);
+        self.0.get(at).is_some_and(|r| r.0 <= x)
+    }
+
+    /// False if it was in the set already.
+    pub fn insert(&mut self, x: u32) -> bool {
+        let at = self.0.partition_point(|r| r.1 < x);
+        match self.0.get_mut(at) {
+            Some(r) if r.0 <= x && x < r.1 => return false,
+            Some(r) if r.1 == x => {
+                r.1 = x + 1;
+                if self.0.get(at + 1).is_some_and(|n| n.0 == x + 1) {
+                    let next = self.0.remove(at + 1);
+                    self.0[at].1 = next.1;
+                }
+            }
+            Some(r) if r.0 == x + 1 => r.0 = x,
+            _ => self.0.insert(at, (x, x + 1)),
+        }
+        true
+    }
+
+    pub fn count(&self) -> u32 {
+        self.0.iter().map(|r| r.1 - r.0).sum()
+    }
+
+    pub fn pieces(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Everything below this is in the set.
+    pub fn prefix(&self) -> u32 {
+        self.0.first().filter(|r| r.0 == 0).map_or(0, |r| r.1)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::BTreeSet;
+
+    #[test]
+    fn behaves_like_a_set() {
+        let mut ranges = Ranges::default();
+        let mut set = BTreeSet::new();
+        let mut x = 7u32;
+        for _ in 0..2_000 {
+            x = x.wrapping_mul(1_103_515_245).wrapping_add(12_345);
+            let v = (x >> 16) % 300;
+            assert_eq!(ranges.insert(v), set.insert(v));
+            assert_eq!(ranges.count() as usize, set.len());
+        }
+        for v in 0..310 {
+            assert_eq!(ranges.contains(v), set.contains(&v));
+        }
+        assert!(ranges.0.windows(2).all(|w| w[0].1 < w[1].0));
+        assert_eq!(ranges.prefix(), (0..).find(|v| !set.contains(v)).unwrap());
+    }
+}
--- /dev/null
+++ b/crates/seamfront-core/src/rounds.rs
@@ -0,0 +1,349 @@
+//! The share's rounds: who gets room, in which order, and who must make room. Tasks of one job are
+//! alike and are decided together, as a class.
+
+use crate::fleet::Machine;
+use crate::gang::Member;
+use crate::job::*;
+use crate::placement::{Room, Wish};
+use crate::port::{MachineView, Need};
+use crate::quota;
+use crate::share::{Ctx, Share, SharePhase};
+use crate::types::*;
+use std::collections::{BTreeMap, BTreeSet};
+use tracing::{debug, info};
+
+/// Rounds follow changes, but not more often than this: a burst is decided together.
+const ROUND_GAP: Micros = Micros::from_millis(40);
+/// Without a change, a round now and then notices what time alone has changed.
+const ROUND_IDLE: Micros = Micros::from_millis(500);
+
+struct Round {
+    /// Free now.
+    room: Room,
+    /// Free once everything that is being stopped has gone.
+    soon: Room,
+}
+
+impl Round {
+    fn hold(&mut self, id: &MachineId, need: Amounts) {
+        for map in [&mut self.room, &mut self.soon] {
+            if let Some(r) = map.get_mut(id) {
+                r.sub(need);
+            }
+        }
+    }
+}
+
+impl Share {
+    pub fn round(&mut self, ctx: &mut Ctx) {
+        let gap = if self.dirty { ROUND_GAP } else { ROUND_IDLE };
+        if self.phase != SharePhase::Ready || !ctx.acting || ctx.now - self.last_round < gap {
+            return;
+        }
+        self.last_round = ctx.now;
+        self.dirty = false;
+        self.needs.clear();
+        let inside = quota::guaranteed(&ctx.cfg.teams, self.jobs.values());
+        let mut round = self.survey(ctx);
+        for id in self.order(ctx, &inside) {
+            self.place_job(ctx, &id, &inside, &mut round);
+        }
+    }
+
+    /// Live services first, then by priority, guarantee and deadline, the oldest first.
+    fn order(&self, ctx: &Ctx, inside: &BTreeSet<JobId>) -> Vec<JobId> {
+        let waiting = |j: &&Job| j.unplaced() > 0 && j.paused_until <= ctx.now;
+        let mut order: Vec<_> = self
+            .jobs
+            .values()
+            .filter(waiting)
+            .filter(|j| j.gang.as_ref().is_none_or(|g| g.admissible()))
+            .map(|j| {
+                let due = j.spec.deadline.map_or(Micros::MAX, |d| j.spec.submitted + d);
+                (j.spec.priority, !inside.contains(&j.spec.id), due, j.spec.submitted, j.spec.id.clone())
+            })
+            .collect();
+        order.sort();
+        order.into_iter().map(|o| o.4).collect()
+    }
+
+    fn survey(&self, ctx: &Ctx) -> Round {
+        let usable = |m: &&Machine| m.usable(ctx.now, ctx.cfg.report);
+        let room: Room = self.machines.values().filter(usable).map(|m| (m.id.clone(), m.free())).collect();
+        let mut soon = room.clone();
+        for j in self.jobs.values() {
+            for p in j.tasks.values().filter(|p| p.stop.is_some()) {
+                if let Some(r) = soon.get_mut(&p.machine) {
+                    r.add(j.spec.need);
+                }
+            }
+        }
+        Round { room, soon }
+    }
+
+    fn place_job(&mut self, ctx: &mut Ctx, id: &JobId, inside: &BTreeSet<JobId>, round: &mut Round) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let Some(team) = ctx.cfg.team(&job.spec.team) else { return };
+        let spec = job.spec.clone();
+        let gang = job.gang.is_some();
+        let quota = self.quota.room(team, spec.need).min(i64::from(u32::MAX)) as u32;
+        let want = job.unplaced().min(quota).min(job.record_room(ctx.cfg.value_bytes));
+        if want == 0 || (gang && want < spec.tasks) {
+            return;
+        }
+        let machines: Vec<&Machine> =
+            self.machines.values().filter(|m| round.room.contains_key(&m.id)).collect();
+        let taken = job.zones(|m| self.machines.get(m).map(|m| m.record.zone.as_str()));
+        let wish = Wish { spec: &spec, avoid: &job.avoid, now: ctx.now, types: ctx.types };
+        let got = wish.choose(&machines, &mut round.room, &taken, want, !gang);
+        let plan: Vec<(MachineId, i64)> = got.iter().map(|m| (m.id.clone(), wish.fetch_ms(m))).collect();
+        for (m, _) in &plan {
+            if let Some(r) = round.soon.get_mut(m) {
+                r.sub(spec.need);
+            }
+        }
+        let mut rest = want - plan.len() as u32;
+        if rest > 0 {
+            // What is being freed already is held for it, so that nothing lesser slips in.
+            let mut taken = taken.clone();
+            for m in &got {
+                *taken.entry(m.record.zone.as_str()).or_insert(0) += 1;
+            }
+            let held = wish.choose(&machines, &mut round.soon.clone(), &taken, rest, !gang);
+            let held: Vec<MachineId> = held.iter().map(|m| m.id.clone()).collect();
+            for m in &held {
+                round.hold(m, spec.need);
+            }
+            rest -= held.len() as u32;
+        }
+        if !plan.is_empty() {
+            self.place(ctx, id, &plan);
+        }
+        if rest > 0 && self.may_preempt(&spec, inside.contains(id)) {
+            rest -= self.make_room(ctx, id, rest, round);
+        }
+        if rest > 0 {
+            let need = self.need(ctx, id, rest, inside.contains(id));
+            self.needs.extend(need);
+        }
+    }
+
+    fn place(&mut self, ctx: &mut Ctx, id: &JobId, plan: &[(MachineId, i64)]) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let spec = job.spec.clone();
+        let gen = job.record.touch();
+        let attempt = match &mut job.gang {
+            Some(g) => {
+                g.reserve_all();
+                g.epoch
+            }
+            None => job.take_attempt(),
+        };
+        let slowest = plan.iter().map(|p| p.1).max().unwrap_or(0);
+        let patience = ctx.cfg.gang_wait.over(3).0 / 1_000;
+        for (i, (machine, fetch_ms)) in job.next_tasks(plan.len() as u32).into_iter().zip(plan) {
+            // A member whose image is there would wait for the others' fetches and give up.
+            let early = if job.gang.is_some() { (slowest - fetch_ms - patience).max(0) } else { 0 };
+            let key = TaskKey { job: id.clone(), index: i };
+            debug!(task = %key, machine = %machine, epoch = attempt, "placed");
+            job.tasks.insert(
+                i,
+                Placement {
+                    machine: machine.clone(),
+                    attempt,
+                    phase: Phase::Recording,
+                    gen,
+                    since: ctx.now,
+                    session: 0,
+                    not_before: ctx.now + Micros::from_millis(early),
+                    running_since: None,
+                    stop: None,
+                },
+            );
+            self.quota.take(&spec.team, spec.need);
+            if let Some(m) = self.machines.get_mut(machine) {
+                m.used.add(spec.need);
+                m.tasks.insert(key);
+                m.idle_since = None;
+            }
+        }
+        if job.gang.is_some() {
+            info!(gang = %id, epoch = attempt, size = plan.len(), "gang reserved");
+        }
+    }
+
+    /// Only work of higher priority stops other work, and of ordinary work only what has a time to
+    /// keep: stopping costs progress.
+    fn may_preempt(&self, spec: &JobSpec, inside: bool) -> bool {
+        match spec.priority {
+            Priority::Critical | Priority::Urgent => true,
+            Priority::Normal => spec.deadline.is_some() || inside,
+            Priority::BestEffort => false,
+        }
+    }
+
+    /// Stops lesser work for `n` tasks of a job; returns for how many room will come.
+    fn make_room(&mut self, ctx: &mut Ctx, id: &JobId, n: u32, round: &mut Round) -> u32 {
+        let Some(job) = self.jobs.get(id) else { return 0 };
+        let spec = job.spec.clone();
+        let wish = Wish { spec: &spec, avoid: &job.avoid, now: ctx.now, types: ctx.types };
+        let taken = job.zones(|m| self.machines.get(m).map(|m| m.record.zone.as_str()));
+        let mut slots: Vec<(i64, MachineId, String, Vec<TaskKey>)> = Vec::new();
+        for m in self.machines.values().filter(|m| wish.allowed(m)) {
+            let Some(free) = round.soon.get(&m.id) else { continue };
+            if let Some((cost, victims)) = self.victims(ctx, m, *free, &spec) {
+                slots.push((cost, m.id.clone(), m.record.zone.clone(), victims));
+            }
+        }
+        slots.sort();
+        let zones: BTreeSet<&str> = slots.iter().map(|s| s.2.as_str()).collect();
+        let mut best: Option<(i64, Vec<usize>)> = None;
+        let choices: Vec<Option<&str>> = if !spec.one_zone {
+            vec![None]
+        } else if let Some(z) = taken.keys().next() {
+            vec![Some(*z)]
+        } else {
+            zones.into_iter().map(Some).collect()
+        };
+        for zone in choices {
+            let mut counts: BTreeMap<&str, u32> = taken.clone();
+            let mut pick = Vec::new();
+            for (k, s) in slots.iter().enumerate().filter(|(_, s)| zone.is_none_or(|z| z == s.2)) {
+                let in_zone = counts.entry(s.2.as_str()).or_insert(0);
+                if *in_zone < spec.zone_cap() && (pick.len() as u32) < n {
+                    *in_zone += 1;
+                    pick.push(k);
+                }
+            }
+            let enough = !pick.is_empty() && (spec.kind != Kind::Gang || pick.len() as u32 == n);
+            let cost: i64 = pick.iter().map(|k| slots[*k].0).sum();
+            if enough && best.as_ref().is_none_or(|b| (pick.len(), -cost) > (b.1.len(), -b.0)) {
+                best = Some((cost, pick));
+            }
+        }
+        let Some((_, pick)) = best else { return 0 };
+        let chosen: Vec<_> = pick.iter().map(|k| slots[*k].clone()).collect();
+        for (_, machine, _, victims) in &chosen {
+            for v in victims {
+                let freed = self.jobs.get(&v.job).map_or(Amounts::default(), |j| j.spec.need);
+                self.evict(ctx, v, Cause::Preempted);
+                if let Some(s) = round.soon.get_mut(machine) {
+                    s.add(freed);
+                }
+            }
+            round.hold(machine, spec.need);
+        }
+        info!(job = %id, tasks = chosen.len(), "making room");
+        chosen.len() as u32
+    }
+
+    /// The cheapest lesser work whose end lets one more task of `spec` fit on this machine.
+    fn victims(&self, ctx: &Ctx, m: &Machine, free: Amounts, spec: &JobSpec) -> Option<(i64, Vec<TaskKey>)> {
+        let mut lesser: Vec<(Priority, i64, &TaskKey, Amounts)> = Vec::new();
+        for t in &m.tasks {
+            let Some(j) = self.jobs.get(&t.job) else { continue };
+            let Some(p) = j.tasks.get(&t.index) else { continue };
+            if j.live() && p.stop.is_none() && j.spec.priority > spec.priority {
+                let ran = p.running_since.map_or(0, |s| (ctx.now - s).0 / 1_000);
+                let lost = if j.spec.saves() { 2_000 } else { 1_000 + ran };
+                lesser.push((j.spec.priority, lost, t, j.spec.need));
+            }
+        }
+        lesser.sort_by(|a, b| (b.0, a.1, a.2).cmp(&(a.0, b.1, b.2)));
+        let (mut free, mut cost, mut keys) = (free, 0, Vec::new());
+        for (_, lost, t, need) in lesser {
+            if free.fits(spec.need) > 0 {
+                break;
+            }
+            free.add(need);
+            cost += lost;
+            keys.push(t.clone());
+        }
+        (free.fits(spec.need) > 0 && !keys.is_empty()).then_some((cost, keys))
+    }
+
+    fn need(&self, ctx: &Ctx, id: &JobId, count: u32, guaranteed: bool) -> Option<Need> {
+        let job = self.jobs.get(id)?;
+        let s = &job.spec;
+        Some(Need {
+            job: id.clone(),
+            task: s.need,
+            count,
+            together: job.gang.is_some(),
+            one_zone: s.one_zone,
+            spread: s.spread,
+            priority: s.priority,
+            guaranteed,
+            types: s.types.clone(),
+            zone: s.zone.clone(),
+            spot: s.spot,
+            image_mb: s.image_mb,
+            estimate: s.estimate,
+            waited: ctx.now - job.waiting_since,
+            left: s.deadline.map(|d| s.submitted + d - ctx.wall),
+            service: s.kind == Kind::Service,
+        })
+    }
+
+    /// What the leader is told of the machines.
+    pub fn views(&self, ctx: &Ctx) -> Vec<MachineView> {
+        let silent_limit = ctx.cfg.report.times(4) + Micros::from_secs(4);
+        let up: Vec<&Machine> = self.machines.values().filter(|m| m.last_report.is_some()).collect();
+        let silent = up.iter().filter(|m| m.silent_for(ctx.now) > silent_limit).count();
+        // When many are silent at once, it is rather our own network: their leases decide.
+        let local = silent * 3 > up.len() && silent > 2;
+        self.machines
+            .values()
+            .filter(|m| m.record.share.is_some())
+            .map(|m| {
+                let quiet = m.silent_for(ctx.now);
+                let boot = ctx.types.iter().find(|t| t.name == m.record.kind).map_or(Micros::from_secs(60), |t| t.boot);
+                let bad = match m.last_report {
+                    Some(_) => (quiet > silent_limit && !local) || quiet > ctx.cfg.lease.times(3).over(2),
+                    None => quiet > boot.times(4) + Micros::from_secs(30),
+                };
+                let taken = m.notice.is_some_and(|t| t + ctx.cfg.report.times(2) < ctx.now)
+                    && quiet > ctx.cfg.report.times(2);
+                MachineView {
+                    id: m.id.clone(),
+                    version: m.version,
+                    up: m.last_report.is_some() && quiet < ctx.cfg.report.times(3),
+                    used: m.used,
+                    idle: m.idle_since.filter(|_| m.empty()).map(|t| ctx.now - t),
+                    released: m.released.is_some(),
+                    bad: bad || taken || (m.suspect && m.empty()),
+                    leaving: m.notice.is_some(),
+                }
+            })
+            .collect()
+    }
+
+    /// The leader wants these. Only what is empty, with nothing unsettled, is let go.
+    pub fn release(&mut self, now: Micros, ids: &[MachineId]) {
+        for id in ids {
+            if let Some(m) = self.machines.get_mut(id) {
+                if m.empty() && m.record.share.is_some() && m.released.is_none() {
+                    debug!(machine = %id, "released for the leader");
+                    m.released = Some(now);
+                }
+            }
+        }
+    }
+
+    /// Placed and unplaced members agree with the gang's states (checked by tests).
+    pub fn consistent(&self) -> bool {
+        self.jobs.values().all(|j| {
+            j.gang.as_ref().is_none_or(|g| {
+                j.tasks.keys().all(|i| !j.live() || !matches!(g.members[*i as usize], Member::Blocked | Member::Preempted))
+            })
+        }) && self.machines.values().all(|m| {
+            let mut sum = Amounts::default();
+            for t in &m.tasks {
+                if let Some(j) = self.jobs.get(&t.job) {
+                    sum.add(j.spec.need);
+                }
+            }
+            sum == m.used
+        })
+    }
+}
--- /dev/null
+++ b/crates/seamfront-core/src/users.rs
@@ -0,0 +1,401 @@
+//! What users ask, at any node. Nothing older than what any node has told: final states never
+//! change and are kept; everything else is confirmed by the store at the time of the answer.
+
+use crate::engine::{Engine, LiveJob, Pending};
+use crate::port::*;
+use crate::quota::within_limit;
+use crate::types::*;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use tracing::{debug, info};
+
+/// `end/<id>`: created once, by whoever ends the job first.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct EndRecord {
+    pub cancelled: bool,
+    pub tasks: u32,
+}
+
+pub fn job_key(id: &JobId) -> String {
+    format!("job/{id}")
+}
+
+pub fn end_key(id: &JobId) -> String {
+    format!("end/{id}")
+}
+
+/// Remembers ended jobs; the oldest are forgotten here and then asked of the store again.
+#[derive(Default)]
+pub struct Ended {
+    known: BTreeMap<JobId, EndRecord>,
+    age: VecDeque<JobId>,
+}
+
+const ENDED_KEPT: usize = 50_000;
+/// More users waiting than this are told to come back.
+const WAITING_MAX: usize = 2_000;
+const SUBMIT_BATCH: usize = 16;
+
+impl Ended {
+    pub fn get(&self, id: &JobId) -> Option<EndRecord> {
+        self.known.get(id).copied()
+    }
+
+    pub fn insert(&mut self, id: &JobId, end: EndRecord) {
+        if self.known.insert(id.clone(), end).is_none() {
+            self.age.push_back(id.clone());
+            if self.age.len() > ENDED_KEPT {
+                if let Some(old) = self.age.pop_front() {
+                    self.known.remove(&old);
+                }
+            }
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wish {
+    Poll,
+    Cancel,
+}
+
+#[derive(Default)]
+pub struct Users {
+    submits: VecDeque<(ReplyTo, Rc<JobSpec>)>,
+    polls: VecDeque<(ReplyTo, JobId)>,
+    pub ended: Ended,
+    /// Display counts as the jobs' holders told them.
+    pub progress: BTreeMap<JobId, (u32, u32)>,
+    in_flight: usize,
+}
+
+const COME_BACK: Micros = Micros::from_secs(1);
+
+impl Engine {
+    pub(crate) fn later(&mut self, to: ReplyTo) {
+        self.answer(to, Answer::Later { after: COME_BACK });
+    }
+
+    fn answer_end(&mut self, to: ReplyTo, id: &JobId, end: EndRecord) {
+        let (state, done) = if end.cancelled { (ShownState::Cancelled, 0) } else { (ShownState::Done, end.tasks) };
+        self.answer(to, Answer::Status { created: false, id: id.clone(), state, done, running: 0 });
+    }
+
+    fn answer_live(&mut self, to: ReplyTo, id: &JobId, created: bool) {
+        // It may have ended here while the store was asked.
+        if let Some(end) = self.users.ended.get(id) {
+            return self.answer_end(to, id, end);
+        }
+        let own = self.jobs.get(id).and_then(|j| self.shares[j.share].as_ref()).and_then(|s| s.jobs.get(id));
+        let (done, running) = match own {
+            Some(j) => (j.done.count(), j.running()),
+            None => self.users.progress.get(id).copied().unwrap_or_default(),
+        };
+        let state = if running > 0 { ShownState::Running } else { ShownState::Queued };
+        self.answer(to, Answer::Status { created, id: id.clone(), state, done, running });
+    }
+
+    /// The store has not answered lately: nothing can be taken or confirmed, and waiting for it
+    /// would only hold the user back.
+    fn store_away(&self) -> bool {
+        !self.link.loaded() || self.now - self.link.last_ok > Micros::from_millis(2_500)
+    }
+
+    fn crowded(&self) -> bool {
+        self.users.submits.len() + self.users.polls.len() + self.users.in_flight > WAITING_MAX
+    }
+
+    pub(crate) fn submit(&mut self, to: ReplyTo, mut spec: JobSpec) {
+        if let Some(end) = self.users.ended.get(&spec.id) {
+            return self.answer_end(to, &spec.id.clone(), end);
+        }
+        if self.store_away() || self.crowded() {
+            return self.later(to);
+        }
+        // Known jobs are known whatever the repeated body says.
+        if self.jobs.contains_key(&spec.id) {
+            return self.poll(to, spec.id);
+        }
+        if self.types.is_empty() {
+            return self.later(to);
+        }
+        spec.submitted = self.wall;
+        self.users.submits.push_back((to, Rc::new(spec)));
+    }
+
+    /// Why a job can never run here.
+    fn impossible(&self, spec: &JobSpec) -> Option<String> {
+        let Some(team) = self.cfg.team(&spec.team) else {
+            return Some("equipe: unknown team".to_owned());
+        };
+        let fits = |t: &MachineType| {
+            t.size.fits(spec.need) > 0 && t.zones.iter().any(|z| spec.allows(&t.name, z, false))
+        };
+        if !self.types.iter().any(fits) {
+            return Some("no allowed machine type fits a task".to_owned());
+        }
+        if !within_limit(team, spec) {
+            return Some("the job needs more than its team's limit".to_owned());
+        }
+        None
+    }
+
+    pub(crate) fn poll(&mut self, to: ReplyTo, id: JobId) {
+        if let Some(end) = self.users.ended.get(&id) {
+            return self.answer_end(to, &id, end);
+        }
+        if self.store_away() || self.crowded() {
+            return self.later(to);
+        }
+        self.users.polls.push_back((to, id));
+    }
+
+    pub(crate) fn cancel(&mut self, to: ReplyTo, id: JobId) {
+        if let Some(end) = self.users.ended.get(&id) {
+            return self.answer_end(to, &id, end);
+        }
+        if self.store_away() || self.crowded() {
+            return self.later(to);
+        }
+        match self.jobs.get(&id) {
+            Some(j) => {
+                let (version, tasks) = (j.version, j.spec.tasks);
+                self.cancel_known(to, id, version, tasks);
+            }
+            None => self.look_up(to, id, Wish::Cancel),
+        }
+    }
+
+    fn cancel_known(&mut self, to: ReplyTo, id: JobId, version: u64, tasks: u32) {
+        let end = EndRecord { cancelled: true, tasks };
+        let request = StateCall::Commit {
+            when: vec![(job_key(&id), version), (end_key(&id), 0)],
+            apply: vec![
+                Write::Put { key: end_key(&id), value: serde_json::to_value(end).unwrap_or_default(), lease: None },
+                Write::Delete { key: job_key(&id) },
+            ],
+        };
+        self.users.in_flight += 1;
+        self.state(request, Pending::Cancel { to, id, end });
+    }
+
+    pub(crate) fn cancel_reply(&mut self, to: ReplyTo, id: JobId, end: EndRecord, reply: StateReply) {
+        self.users.in_flight -= 1;
+        match reply {
+            StateReply::Committed { .. } => {
+                info!(job = %id, "cancelled by its user");
+                self.users.ended.insert(&id, end);
+                self.job_vanished(&id);
+                self.answer_end(to, &id, end);
+            }
+            StateReply::Conflict { .. } => self.look_up(to, id, Wish::Poll),
+            _ => self.later(to),
+        }
+    }
+
+    /// Asks the store. The job first, then its end: whoever ends a job removes the one and writes
+    /// the other in one transaction, so this order can't miss both.
+    fn look_up(&mut self, to: ReplyTo, id: JobId, wish: Wish) {
+        self.users.in_flight += 1;
+        self.state(StateCall::Get { key: job_key(&id) }, Pending::LookUp { to, id, wish });
+    }
+
+    pub(crate) fn look_up_reply(&mut self, to: ReplyTo, id: JobId, wish: Wish, reply: StateReply) {
+        self.users.in_flight -= 1;
+        match reply {
+            StateReply::Entry(e) => match wish {
+                Wish::Poll => self.answer_live(to, &id, false),
+                Wish::Cancel => {
+                    let tasks = serde_json::from_value::<JobSpec>(e.value).map_or(0, |s| s.tasks);
+                    self.cancel_known(to, id, e.version, tasks);
+                }
+            },
+            StateReply::Missing => {
+                self.users.in_flight += 1;
+                self.state(StateCall::Get { key: end_key(&id) }, Pending::LookUpEnd { to, id });
+            }
+            _ => self.later(to),
+        }
+    }
+
+    pub(crate) fn look_up_end_reply(&mut self, to: ReplyTo, id: JobId, reply: StateReply) {
+        self.users.in_flight -= 1;
+        match reply {
+            StateReply::Entry(e) => match serde_json::from_value::<EndRecord>(e.value) {
+                Ok(end) => {
+                    self.users.ended.insert(&id, end);
+                    self.answer_end(to, &id, end);
+                }
+                Err(_) => self.later(to),
+            },
+            StateReply::Missing => self.answer(to, Answer::NotFound),
+            _ => self.later(to),
+        }
+    }
+
+    /// Sends what has gathered: submissions that create, and one comparison that confirms many polls.
+    pub(crate) fn users_flush(&mut self) {
+        while !self.users.submits.is_empty() {
+            let room = SUBMIT_BATCH.min(self.cfg.txn_ops);
+            let mut batch: Vec<(ReplyTo, Rc<JobSpec>)> = Vec::new();
+            let mut bytes = 0;
+            while let Some((to, spec)) = self.users.submits.pop_front() {
+                if batch.iter().any(|b| b.1.id == spec.id) {
+                    // The same id twice at once: the second waits for the first to be known.
+                    self.later(to);
+                    continue;
+                }
+                bytes += 600 + spec.types.iter().flatten().map(|t| t.len() + 4).sum::<usize>() + spec.image.len();
+                batch.push((to, spec));
+                if batch.len() >= room || bytes > 40_000 {
+                    break;
+                }
+            }
+            self.send_submits(batch);
+        }
+        while !self.users.polls.is_empty() {
+            let mut known = Vec::new();
+            while let Some((to, id)) = self.users.polls.pop_front() {
+                match self.jobs.get(&id) {
+                    Some(j) => known.push((to, id, j.version)),
+                    None => self.look_up(to, id, Wish::Poll),
+                }
+                if known.len() >= self.cfg.txn_ops * 2 {
+                    break;
+                }
+            }
+            if known.is_empty() {
+                continue;
+            }
+            let mut when: Vec<(String, u64)> = known.iter().map(|k| (job_key(&k.1), k.2)).collect();
+            when.sort();
+            when.dedup();
+            self.users.in_flight += known.len();
+            let polls = known.into_iter().map(|k| (k.0, k.1)).collect();
+            self.state(StateCall::Commit { when, apply: vec![] }, Pending::Confirm { polls });
+        }
+    }
+
+    fn send_submits(&mut self, batch: Vec<(ReplyTo, Rc<JobSpec>)>) {
+        let (mut when, mut apply, mut sent) = (Vec::new(), Vec::new(), Vec::new());
+        for (to, spec) in batch {
+            if self.impossible(&spec).is_some() {
+                // An accepted job's repetition never gets 422: the store says whether it is known.
+                self.users.in_flight += 1;
+                let id = spec.id.clone();
+                self.state(StateCall::Get { key: job_key(&id) }, Pending::Doubt { to, spec, end: false });
+                continue;
+            }
+            when.push((job_key(&spec.id), 0));
+            when.push((end_key(&spec.id), 0));
+            let value = serde_json::to_value(&*spec).unwrap_or_default();
+            apply.push(Write::Put { key: job_key(&spec.id), value, lease: None });
+            sent.push((to, spec));
+        }
+        if !sent.is_empty() {
+            self.users.in_flight += sent.len();
+            self.state(StateCall::Commit { when, apply }, Pending::Submit { batch: sent });
+        }
+    }
+
+    /// A job that can never run, unless it is known already (settings may have changed since).
+    pub(crate) fn doubt_reply(&mut self, to: ReplyTo, spec: Rc<JobSpec>, end: bool, reply: StateReply) {
+        self.users.in_flight -= 1;
+        match reply {
+            StateReply::Entry(_) if !end => self.answer_live(to, &spec.id, false),
+            StateReply::Entry(e) => match serde_json::from_value::<EndRecord>(e.value) {
+                Ok(record) => self.answer_end(to, &spec.id, record),
+                Err(_) => self.later(to),
+            },
+            StateReply::Missing if !end => {
+                self.users.in_flight += 1;
+                let key = end_key(&spec.id);
+                self.state(StateCall::Get { key }, Pending::Doubt { to, spec, end: true });
+            }
+            StateReply::Missing => {
+                let why = self.impossible(&spec).unwrap_or_default();
+                self.answer(to, Answer::Impossible { why });
+            }
+            _ => self.later(to),
+        }
+    }
+
+    pub(crate) fn submit_reply(&mut self, batch: Vec<(ReplyTo, Rc<JobSpec>)>, reply: StateReply) {
+        self.users.in_flight -= batch.len();
+        match reply {
+            StateReply::Committed { revision } => {
+                for (to, spec) in batch {
+                    info!(job = %spec.id, class = %spec.class, tasks = spec.tasks, "accepted");
+                    let id = spec.id.clone();
+                    // If the view is past this revision it knows better, be it of the job's end.
+                    if self.link.watches[0].seen < revision {
+                        self.job_appeared(spec, revision);
+                    }
+                    self.answer_live(to, &id, true);
+                }
+            }
+            StateReply::Conflict { failed } => {
+                for (to, spec) in batch {
+                    if failed.contains(&job_key(&spec.id)) || failed.contains(&end_key(&spec.id)) {
+                        self.look_up(to, spec.id.clone(), Wish::Poll);
+                    } else {
+                        self.users.submits.push_back((to, spec));
+                    }
+                }
+            }
+            _ => {
+                for (to, _) in batch {
+                    self.later(to);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn confirm_reply(&mut self, polls: Vec<(ReplyTo, JobId)>, reply: StateReply) {
+        self.users.in_flight -= polls.len();
+        match reply {
+            StateReply::Committed { .. } => {
+                for (to, id) in polls {
+                    self.answer_live(to, &id, false);
+                }
+            }
+            StateReply::Conflict { failed } => {
+                for (to, id) in polls {
+                    if failed.contains(&job_key(&id)) {
+                        debug!(job = %id, "ended since; asking how");
+                        self.look_up(to, id, Wish::Poll);
+                    } else {
+                        // Only a success vouches for all at once.
+                        self.users.polls.push_back((to, id));
+                    }
+                }
+            }
+            _ => {
+                for (to, _) in polls {
+                    self.later(to);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn job_appeared(&mut self, spec: Rc<JobSpec>, version: u64) {
+        let Some(share) = self.cfg.share_of(&spec.team) else { return };
+        let id = spec.id.clone();
+        if self.jobs.get(&id).is_some_and(|j| j.version >= version) {
+            return;
+        }
+        self.jobs.insert(id, LiveJob { spec: spec.clone(), version, share });
+        if let Some(s) = self.shares[share].as_mut() {
+            if s.phase == crate::share::SharePhase::Ready {
+                s.add_job(spec, version, self.now);
+            }
+        }
+    }
+
+    pub(crate) fn job_vanished(&mut self, id: &JobId) {
+        let Some(j) = self.jobs.remove(id) else { return };
+        self.users.progress.remove(id);
+        self.with_share(j.share, |s, ctx| s.job_ended(ctx, id));
+    }
+}
--- /dev/null
+++ b/crates/seamfront/src/main.rs
@@ -0,0 +1,44 @@
+#![forbid(unsafe_code)]
+
+use clap::Parser;
+use seamfront::{driver, settings};
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Cluster scheduler: runs gangs, arrays and services on rented machines.
+#[derive(Parser)]
+#[command(version, about, after_help = "Logs go to standard error as much as LOG_LEVEL says \
+(error, warn, info, debug). Operators' own settings are read from seamfront.ini beside FILE, if it is there.")]
+struct Args {
+    /// Check the settings and exit.
+    #[arg(long)]
+    check: bool,
+    /// The platform's settings (TOML).
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    let level = std::env::var("LOG_LEVEL").ok().and_then(|l| l.parse().ok()).unwrap_or(tracing::Level::INFO);
+    tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).without_time().with_ansi(false).init();
+    let settings = match settings::load(&args.config) {
+        Ok(s) => s,
+        Err(e) => {
+            let _ = writeln!(std::io::stderr(), "seamfront: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    if args.check {
+        let _ = writeln!(std::io::stdout(), "settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    match driver::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            let _ = writeln!(std::io::stderr(), "seamfront: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
