--- a/crates/seamfront-core/src/capacity.rs
+++ b/crates/seamfront-core/src/capacity.rs
@@ -99,7 +99,8 @@
         };
         // What is on its way to this share.
         for c in coming.iter_mut().filter(|c| c.0 == *share) {
-            if rest > 0 && allowed(&c.1, &c.2, c.3) {
+            let suits = suits(need.task, need.types.as_deref(), c.4, p.types);
+            if rest > 0 && suits && allowed(&c.1, &c.2, c.3) {
                 let n = c.4.fits(need.task).min(i64::from(rest));
                 c.4.sub(need.task.times(n));
                 rest -= n as u32;
@@ -114,15 +115,13 @@
             if rest == 0 || wanted.contains(m.id) || m.share == *share {
                 continue;
             }
-            if !allowed(&m.record.kind, &m.record.zone, m.record.spot) || m.size.fits(need.task) == 0 {
+            let fit = m.size.fits(need.task) > 0 && suits(need.task, need.types.as_deref(), m.size, p.types);
+            if !allowed(&m.record.kind, &m.record.zone, m.record.spot) || !fit {
                 continue;
             }
             if need.one_zone && zone_pick.is_some_and(|z| z != m.record.zone) {
                 continue;
             }
-            if need.task.gpus == 0 && m.size.gpus > 0 && !need.service {
-                continue;
-            }
             zone_pick = Some(&m.record.zone);
             wanted.insert(m.id);
             plan.moves.push((m.id.clone(), *share));
@@ -161,7 +160,10 @@
         let mut by_zone: BTreeMap<&str, i64> = BTreeMap::new();
         for m in p.machines.iter().filter(|m| m.share == share && !m.bad()) {
             let fit = m.size.fits(need.task);
-            if allowed(&m.record.kind, &m.record.zone, m.record.spot) && fit > 0 {
+            if suits(need.task, need.types.as_deref(), m.size, p.types)
+                && allowed(&m.record.kind, &m.record.zone, m.record.spot)
+                && fit > 0
+            {
                 slots += fit;
                 *by_zone.entry(m.record.zone.as_str()).or_default() += fit;
             }
@@ -192,7 +194,7 @@
         let mut best: Option<(i64, &MachineType, &str, bool, i64)> = None;
         for t in p.types {
             let fit = t.size.fits(need.task);
-            if fit <= 0 {
+            if fit <= 0 || !suits(need.task, need.types.as_deref(), t.size, p.types) {
                 continue;
             }
             for z in &t.zones {
--- a/crates/seamfront-core/src/placement.rs
+++ b/crates/seamfront-core/src/placement.rs
@@ -17,6 +17,7 @@
 impl Wish<'_> {
     pub fn allowed(&self, m: &Machine) -> bool {
         self.spec.allows(&m.record.kind, &m.record.zone, m.record.spot)
+            && self.spec.suits(m.size, self.types)
             && self.avoid.get(&m.id).is_none_or(|until| *until <= self.now)
     }
 
@@ -28,14 +29,13 @@
         self.spec.image_mb * 1_000 / rate.max(1)
     }
 
-    /// Lower is better: accelerators are left to those who need them, then a cached image, then
-    /// the fullest machine, so that others become empty and can be returned.
+    /// Lower is better: a cached image, then the fullest machine, so that others become empty and
+    /// can be returned.
     fn cost(&self, m: &Machine, room: Amounts) -> i64 {
-        let wasted_gpu = if self.spec.need.gpus == 0 && m.size.gpus > 0 { 100_000 } else { 0 };
         // Work that may be on spot machines goes there: it is cheaper, and leaves the others room.
         let kind = if self.spec.spot && !m.record.spot { 2_000 } else { 0 };
         let left = 1_000 * room.cpus.max(0) / m.size.cpus.max(1);
-        wasted_gpu + kind + self.fetch_ms(m) + left
+        kind + self.fetch_ms(m) + left
     }
 
     /// Machines that have room for at least one task, best first, with how many fit.
--- a/crates/seamfront-core/src/types.rs
+++ b/crates/seamfront-core/src/types.rs
@@ -206,6 +206,12 @@
         }
     }
 
+    /// Machines with accelerators cost many times as much and are few. What needs none stays off
+    /// them, unless no other type would do.
+    pub fn suits(&self, size: Amounts, types: &[MachineType]) -> bool {
+        suits(self.need, self.types.as_deref(), size, types)
+    }
+
     pub fn saves(&self) -> bool {
         self.checkpoint > Micros::ZERO
     }
@@ -230,6 +236,14 @@
     pub zones: Vec<String>,
 }
 
+/// See [`JobSpec::suits`].
+pub fn suits(need: Amounts, allowed: Option<&[String]>, size: Amounts, types: &[MachineType]) -> bool {
+    let plain = |t: &MachineType| {
+        t.size.gpus == 0 && t.size.fits(need) > 0 && allowed.is_none_or(|a| a.iter().any(|n| *n == t.name))
+    };
+    need.gpus > 0 || size.gpus == 0 || !types.iter().any(plain)
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Team {
     pub name: String,
