Rent no accelerators for plain work; clear lesser work for other shares

Cause: live replicas of a share without free plain machines waited while other shares ran lesser work there; machines with accelerators were rented for plain arrays. Now they are not rented for what does not need them, though used while kept; and the leader may have a machine cleared of less important work for another share.

--- a/crates/seamfront-core/src/capacity.rs
+++ b/crates/seamfront-core/src/capacity.rs
@@ -51,17 +51,25 @@
     pub types: &'a [MachineType],
     pub refused: &'a BTreeMap<Offer, (Micros, u32)>,
     pub tuning: &'a Tuning,
+    /// Machines that are being cleared for another share.
+    pub clearing: &'a BTreeMap<MachineId, (usize, Micros)>,
 }
 
 #[derive(Debug, Default)]
 pub struct Plan {
     pub moves: Vec<(MachineId, usize)>,
     pub returns: Vec<MachineId>,
+    /// To be cleared of lesser work than that of this priority, for this share.
+    pub clear: Vec<(MachineId, usize, Priority)>,
     pub rents: Vec<RentRecord>,
 }
 
 /// Waiting work that the machines at hand get through within this time is not rented for.
 const DRAIN_TARGET: Micros = Micros::from_secs(45);
+/// How long ordinary work waits before lesser work is stopped elsewhere for it.
+const PATIENCE: Micros = Micros::from_secs(5);
+/// Machines cleared at once: what they free is seen before more work is stopped.
+const CLEAR_MAX: usize = 3;
 const RENT_MAX: u32 = 20;
 
 pub fn plan(p: &Picture) -> Plan {
@@ -79,14 +87,23 @@
     }
     for m in &p.machines {
         let boot = p.types.iter().find(|t| t.name == m.record.kind).map_or(Micros::from_secs(60), |t| t.boot);
+        if let Some((to, _)) = p.clearing.get(m.id) {
+            coming.push((*to, m.record.kind.clone(), m.record.zone.clone(), m.record.spot, m.size));
+            if m.view.is_some_and(|v| v.released) {
+                plan.moves.push((m.id.clone(), *to));
+            }
+            continue;
+        }
         let never = m.view.is_none_or(|v| !v.up) && !m.bad();
         if never && m.age < boot.times(2) + Micros::from_secs(10) {
             coming.push((m.share, m.record.kind.clone(), m.record.zone.clone(), m.record.spot, m.size));
         }
     }
-    let mut idle: Vec<&Supply> = p.machines.iter().filter(|m| m.up() && m.idle().is_some()).collect();
+    let mut idle: Vec<&Supply> =
+        p.machines.iter().filter(|m| m.up() && m.idle().is_some() && !p.clearing.contains_key(m.id)).collect();
     idle.sort_by_key(|m| (!m.view.is_some_and(|v| v.released), m.id));
     let mut wanted: BTreeSet<&MachineId> = BTreeSet::new();
+    let mut cleared: BTreeSet<&MachineId> = BTreeSet::new();
     // Waiting work so far, by share, in thousandths of a processor times microseconds.
     let mut work: BTreeMap<(usize, bool), i64> = BTreeMap::new();
 
@@ -130,12 +147,35 @@
         if rest == 0 {
             continue;
         }
+        let rented = plan.rents.len();
         rent_for(p, &mut plan, *share, need, rest, &mut work, &allowed);
+        // Live services do not wait for a machine to boot; other work is helped at lesser work's
+        // cost only if there is nothing to rent.
+        if need.service || (plan.rents.len() == rented && need.waited > PATIENCE) {
+            let mut lesser: Vec<&Supply> = p
+                .machines
+                .iter()
+                .filter(|m| m.share != *share && m.up() && !p.clearing.contains_key(m.id) && !cleared.contains(m.id))
+                .filter(|m| m.view.is_some_and(|v| v.least.is_some_and(|l| l > need.priority)))
+                .filter(|m| allowed(&m.record.kind, &m.record.zone, m.record.spot) && m.size.fits(need.task) > 0)
+                .filter(|m| suits(need.task, need.types.as_deref(), m.size, p.types))
+                .collect();
+            lesser.sort_by_key(|m| (m.view.map(|v| v.loss), m.id));
+            for m in lesser {
+                if rest == 0 || cleared.len() >= CLEAR_MAX {
+                    break;
+                }
+                cleared.insert(m.id);
+                plan.clear.push((m.id.clone(), *share, need.priority));
+                rest -= m.size.fits(need.task).min(i64::from(rest)) as u32;
+            }
+        }
     }
 
     let keep = p.tuning.idle_keep;
     for m in &p.machines {
-        let spare = !wanted.contains(m.id) && m.up() && m.idle().is_some_and(|t| t > keep);
+        let spare =
+            !wanted.contains(m.id) && !p.clearing.contains_key(m.id) && m.up() && m.idle().is_some_and(|t| t > keep);
         if m.bad() || spare {
             plan.returns.push(m.id.clone());
         }
--- a/crates/seamfront-core/src/engine.rs
+++ b/crates/seamfront-core/src/engine.rs
@@ -586,9 +586,9 @@
                 }
             }
             MeshMessage::Share { share, needs, machines, .. } => self.share_told(share, needs, machines),
-            MeshMessage::Release { share, machines } => {
+            MeshMessage::Release { share, machines, above } => {
                 let now = self.now;
-                self.with_share(share, |s, _| s.release(now, &machines));
+                self.with_share(share, |s, ctx| s.release(ctx, &machines, above));
                 self.tell_next = now;
             }
             MeshMessage::Progress { jobs } => {
--- a/crates/seamfront-core/src/fleet.rs
+++ b/crates/seamfront-core/src/fleet.rs
@@ -51,6 +51,8 @@
     pub direct: Option<Direct>,
     pub notice: Option<Micros>,
     pub released: Option<Micros>,
+    /// Being emptied for another share's more important work.
+    pub clearing: Option<Micros>,
     pub idle_since: Option<Micros>,
     pub images: Vec<(String, i64)>,
     /// Different jobs that failed here since something last went well.
@@ -81,6 +83,7 @@
             direct: None,
             notice: None,
             released: None,
+            clearing: None,
             idle_since: None,
             images: Vec::new(),
             faults: BTreeSet::new(),
@@ -111,6 +114,7 @@
             && self.last_report.is_some_and(|t| now - t <= report.times(2) + Micros::from_secs(1))
             && self.notice.is_none()
             && self.released.is_none()
+            && self.clearing.is_none()
             && !self.suspect
             && self.full_until <= now
     }
--- a/crates/seamfront-core/src/leader.rs
+++ b/crates/seamfront-core/src/leader.rs
@@ -55,6 +55,8 @@
     plan_next: Micros,
     move_next: Micros,
     writing: BTreeSet<MachineId>,
+    /// Asked to be cleared for a share, since when.
+    clearing: BTreeMap<MachineId, (usize, Micros)>,
     cloud_rest: Micros,
 }
 
@@ -84,6 +86,7 @@
             plan_next: now,
             move_next: now,
             writing: BTreeSet::new(),
+            clearing: BTreeMap::new(),
             cloud_rest: now,
         }
     }
@@ -150,6 +153,11 @@
         let Some(l) = self.leader.as_mut() else { return };
         if now >= l.plan_next {
             l.plan_next = now + TICK;
+            // Moved, refused by its owner, or too slow: whoever still needs it asks again.
+            let machines = &self.machines;
+            l.clearing.retain(|id, (to, t)| {
+                now - *t < Micros::from_secs(20) && machines.get(id).is_some_and(|m| m.0.share != Some(*to))
+            });
             l.gone.retain(|_, t| now - *t < Micros::from_secs(180));
             self.carry_out_plan();
         }
@@ -258,6 +266,7 @@
             types: &self.types,
             refused: &l.refused,
             tuning: &self.cfg.tuning,
+            clearing: &l.clearing,
         };
         let mut plan = capacity::plan(&picture);
         let released: BTreeSet<MachineId> = picture
@@ -295,7 +304,14 @@
             }
         }
         for (share, machines) in asks {
-            self.tell_holder(share, MeshMessage::Release { share, machines });
+            self.tell_holder(share, MeshMessage::Release { share, machines, above: None });
+        }
+        for (id, to, above) in plan.clear {
+            let Some(share) = self.machines.get(&id).and_then(|m| m.0.share) else { continue };
+            if let Some(l) = self.leader.as_mut() {
+                l.clearing.insert(id.clone(), (to, now));
+            }
+            self.tell_holder(share, MeshMessage::Release { share, machines: vec![id], above: Some(above) });
         }
         writes.truncate(self.cfg.txn_ops);
         self.assign(writes);
--- a/crates/seamfront-core/src/placement.rs
+++ b/crates/seamfront-core/src/placement.rs
@@ -12,12 +12,14 @@
     pub avoid: &'a BTreeMap<MachineId, Micros>,
     pub now: Micros,
     pub types: &'a [MachineType],
+    /// Whether machines that do not suit the task (see `JobSpec::suits`) may be used all the same.
+    pub any_size: bool,
 }
 
 impl Wish<'_> {
     pub fn allowed(&self, m: &Machine) -> bool {
         self.spec.allows(&m.record.kind, &m.record.zone, m.record.spot)
-            && self.spec.suits(m.size, self.types)
+            && (self.any_size || self.spec.suits(m.size, self.types))
             && self.avoid.get(&m.id).is_none_or(|until| *until <= self.now)
     }
 
--- a/crates/seamfront-core/src/port.rs
+++ b/crates/seamfront-core/src/port.rs
@@ -192,6 +192,9 @@
     pub bad: bool,
     /// About to be taken back by the cloud.
     pub leaving: bool,
+    /// The most important priority among its tasks, and the work that clearing it would lose.
+    pub least: Option<Priority>,
+    pub loss: Micros,
 }
 
 /// Between controllers. Nothing here is needed for safety; it saves time.
@@ -201,8 +204,9 @@
     Alive { ready: bool, claims: Vec<(String, u64)> },
     /// A share's state of affairs, for the leader.
     Share { share: usize, version: u64, needs: Vec<Need>, machines: Vec<MachineView> },
-    /// The leader asks for idle machines to be released.
-    Release { share: usize, machines: Vec<MachineId> },
+    /// The leader asks for idle machines to be released; with `above`, also to be cleared of work
+    /// that is less important.
+    Release { share: usize, machines: Vec<MachineId>, above: Option<Priority> },
     /// Display counts of live jobs: (job, done, running).
     Progress { jobs: Vec<(JobId, u32, u32)> },
 }
--- a/crates/seamfront-core/src/rounds.rs
+++ b/crates/seamfront-core/src/rounds.rs
@@ -93,27 +93,37 @@
         }
         let machines: Vec<&Machine> = self.machines.values().filter(|m| round.room.contains_key(&m.id)).collect();
         let taken = job.zones(|m| self.machines.get(m).map(|m| m.record.zone.as_str()));
-        let wish = Wish { spec: &spec, avoid: &job.avoid, now: ctx.now, types: ctx.types };
-        let got = wish.choose(&machines, &mut round.room, &taken, want, !gang);
-        let plan: Vec<(MachineId, i64)> = got.iter().map(|m| (m.id.clone(), wish.fetch_ms(m))).collect();
-        for (m, _) in &plan {
-            if let Some(r) = round.soon.get_mut(m) {
-                r.sub(spec.need);
+        let mut wish = Wish { spec: &spec, avoid: &job.avoid, now: ctx.now, types: ctx.types, any_size: false };
+        let mut taken = taken;
+        let mut plan: Vec<(MachineId, i64)> = Vec::new();
+        let mut rest = want;
+        // Services rather stop lesser work on plain machines than settle on accelerators for good;
+        // arrays leave soon, and what saves can be moved at little loss.
+        let sizes: &[bool] = if spec.kind == Kind::Service || spec.need.gpus > 0 { &[false] } else { &[false, true] };
+        for any_size in sizes {
+            wish.any_size = *any_size;
+            let got = wish.choose(&machines, &mut round.room, &taken, rest, !gang);
+            for m in got {
+                *taken.entry(m.record.zone.as_str()).or_insert(0) += 1;
+                plan.push((m.id.clone(), wish.fetch_ms(m)));
+                if let Some(r) = round.soon.get_mut(&m.id) {
+                    r.sub(spec.need);
+                }
+            }
+            rest = want - plan.len() as u32;
+            if rest == 0 {
+                break;
             }
-        }
-        let mut rest = want - plan.len() as u32;
-        if rest > 0 {
             // What is being freed already is held for it, so that nothing lesser slips in.
-            let mut taken = taken.clone();
-            for m in &got {
+            let held = wish.choose(&machines, &mut round.soon.clone(), &taken, rest, !gang);
+            for m in held {
                 *taken.entry(m.record.zone.as_str()).or_insert(0) += 1;
+                round.hold(&m.id, spec.need);
+                rest -= 1;
             }
-            let held = wish.choose(&machines, &mut round.soon.clone(), &taken, rest, !gang);
-            let held: Vec<MachineId> = held.iter().map(|m| m.id.clone()).collect();
-            for m in &held {
-                round.hold(m, spec.need);
+            if rest == 0 {
+                break;
             }
-            rest -= held.len() as u32;
         }
         if !plan.is_empty() {
             self.place(ctx, id, &plan);
@@ -185,7 +195,7 @@
     fn make_room(&mut self, ctx: &mut Ctx, id: &JobId, n: u32, round: &mut Round) -> u32 {
         let Some(job) = self.jobs.get(id) else { return 0 };
         let spec = job.spec.clone();
-        let wish = Wish { spec: &spec, avoid: &job.avoid, now: ctx.now, types: ctx.types };
+        let wish = Wish { spec: &spec, avoid: &job.avoid, now: ctx.now, types: ctx.types, any_size: false };
         let taken = job.zones(|m| self.machines.get(m).map(|m| m.record.zone.as_str()));
         let mut slots: Vec<(i64, MachineId, String, Vec<TaskKey>)> = Vec::new();
         for m in self.machines.values().filter(|m| wish.allowed(m)) {
@@ -303,7 +313,10 @@
                 };
                 let taken =
                     m.notice.is_some_and(|t| t + ctx.cfg.report.times(2) < ctx.now) && quiet > ctx.cfg.report.times(2);
+                let (least, loss) = self.lesser(ctx, m);
                 MachineView {
+                    least,
+                    loss,
                     id: m.id.clone(),
                     version: m.version,
                     up: m.last_report.is_some() && quiet < ctx.cfg.report.times(3),
@@ -317,14 +330,42 @@
             .collect()
     }
 
-    /// The leader wants these. Only what is empty, with nothing unsettled, is let go.
-    pub fn release(&mut self, now: Micros, ids: &[MachineId]) {
+    /// The most important priority on a machine, and how much work would be lost by leaving it.
+    fn lesser(&self, ctx: &Ctx, m: &Machine) -> (Option<Priority>, Micros) {
+        let (mut least, mut loss) = (None, Micros::ZERO);
+        for t in &m.tasks {
+            let Some(j) = self.jobs.get(&t.job) else { continue };
+            let Some(p) = j.tasks.get(&t.index) else { continue };
+            least = Some(least.map_or(j.spec.priority, |l: Priority| l.min(j.spec.priority)));
+            loss += if j.spec.saves() { j.spec.save } else { p.running_since.map_or(Micros::ZERO, |s| ctx.now - s) };
+        }
+        (least, loss)
+    }
+
+    /// The leader wants these. Only what is empty, with nothing unsettled, is let go; for work of
+    /// higher priority than all that is on it, a machine is cleared first.
+    pub fn release(&mut self, ctx: &mut Ctx, ids: &[MachineId], above: Option<Priority>) {
         for id in ids {
-            if let Some(m) = self.machines.get_mut(id) {
-                if m.empty() && m.record.share.is_some() && m.released.is_none() {
+            let Some(m) = self.machines.get_mut(id).filter(|m| m.record.share.is_some()) else { continue };
+            if m.empty() {
+                if m.released.is_none() {
                     debug!(machine = %id, "released for the leader");
-                    m.released = Some(now);
+                    m.released = Some(ctx.now);
                 }
+                continue;
+            }
+            let Some(above) = above.filter(|_| m.clearing.is_none()) else { continue };
+            let tasks: Vec<TaskKey> = m.tasks.iter().cloned().collect();
+            let lesser = |t: &TaskKey| self.jobs.get(&t.job).is_some_and(|j| j.spec.priority > above);
+            if !tasks.iter().all(lesser) {
+                continue;
+            }
+            info!(machine = %id, tasks = tasks.len(), ?above, "clearing machine for another share");
+            if let Some(m) = self.machines.get_mut(id) {
+                m.clearing = Some(ctx.now);
+            }
+            for t in tasks {
+                self.evict(ctx, &t, Cause::Preempted);
             }
         }
     }
--- a/crates/seamfront-core/src/share.rs
+++ b/crates/seamfront-core/src/share.rs
@@ -66,6 +66,9 @@
 /// How long a machine stays released without the leader taking it.
 const RELEASE_KEPT: Micros = Micros::from_secs(5);
 
+/// How long a machine may take to be emptied for another share before it is used again.
+const CLEARING_KEPT: Micros = Micros::from_secs(30);
+
 pub fn work_prefix(share: usize) -> String {
     format!("work/{share}/")
 }
@@ -202,6 +205,7 @@
                     m.version = version;
                     // Kept or given back by the leader, or fenced anew by ourselves.
                     m.released = None;
+                    m.clearing = None;
                     if let Some(d) = &mut m.direct {
                         d.raising = false;
                     }
@@ -733,6 +737,13 @@
         }
         for m in self.machines.values_mut() {
             let idle = m.empty() && m.record.share.is_some();
+            if let Some(since) = m.clearing {
+                if idle && m.released.is_none() {
+                    m.released = Some(ctx.now);
+                } else if !idle && ctx.now - since > CLEARING_KEPT {
+                    m.clearing = None;
+                }
+            }
             if !idle {
                 m.idle_since = None;
             } else if m.idle_since.is_none() {
@@ -806,6 +817,7 @@
                     if let WriteOutcome::Done(v) = outcome {
                         m.version = m.version.max(v);
                         m.released = None;
+                        m.clearing = None;
                     }
                 }
                 return;
