--- a/crates/seamfront-core/src/port.rs
+++ b/crates/seamfront-core/src/port.rs
@@ -161,6 +161,8 @@
     pub job: JobId,
     pub task: Amounts,
     pub count: u32,
+    /// Tasks of the job in all.
+    pub total: u32,
     /// All of them at once (gangs), or as machines come.
     pub together: bool,
     pub one_zone: bool,
@@ -173,7 +175,7 @@
     pub image_mb: i64,
     pub estimate: Micros,
     pub waited: Micros,
-    /// Time left until the deadline, if there is one.
+    /// Time left until it must start to be in time, if it still can be.
     pub left: Option<Micros>,
     pub service: bool,
 }
--- a/crates/seamfront-core/src/rounds.rs
+++ b/crates/seamfront-core/src/rounds.rs
@@ -50,7 +50,8 @@
         }
     }
 
-    /// Live services first, then by priority, guarantee and deadline, the oldest first.
+    /// By priority, then guarantee, then by when it must start to be in time, the oldest first.
+    /// Work that can't be in time any more comes after work that can.
     fn order(&self, ctx: &Ctx, inside: &BTreeSet<JobId>) -> Vec<JobId> {
         let waiting = |j: &&Job| j.unplaced() > 0 && j.paused_until <= ctx.now;
         let mut order: Vec<_> = self
@@ -59,7 +60,7 @@
             .filter(waiting)
             .filter(|j| j.gang.as_ref().is_none_or(|g| g.admissible()))
             .map(|j| {
-                let due = j.spec.deadline.map_or(Micros::MAX, |d| j.spec.submitted + d);
+                let due = ctx.cfg.start_by(&j.spec, ctx.wall).unwrap_or(Micros::MAX);
                 (j.spec.priority, !inside.contains(&j.spec.id), due, j.spec.submitted, j.spec.id.clone())
             })
             .collect();
@@ -132,9 +133,45 @@
             rest -= self.make_room(ctx, id, rest, round);
         }
         if rest > 0 {
-            let need = self.need(ctx, id, rest, inside.contains(id));
-            self.needs.extend(need);
+            let mut zone = None;
+            if gang {
+                (rest, zone) = self.gather(ctx, id, want, round);
+            }
+            if let Some(mut need) = self.need(ctx, id, rest, inside.contains(id)) {
+                need.zone = need.zone.or(zone);
+                self.needs.push(need);
+            }
+        }
+    }
+
+    /// A gang that does not find room for all holds what there is, or smaller ones would take every
+    /// place that comes free and it would wait for ever. Returns how many places are missing, and
+    /// in which zone if it must be one.
+    fn gather(&self, ctx: &Ctx, id: &JobId, want: u32, round: &mut Round) -> (u32, Option<String>) {
+        let Some(job) = self.jobs.get(id) else { return (want, None) };
+        let spec = &job.spec;
+        let wish = Wish { spec, avoid: &job.avoid, now: ctx.now, types: ctx.types, any_size: false };
+        let mut by_zone: BTreeMap<&str, Vec<(MachineId, u32)>> = BTreeMap::new();
+        let mut all: BTreeMap<&str, i64> = BTreeMap::new();
+        for m in self.machines.values().filter(|m| wish.allowed(m) && round.soon.contains_key(&m.id)) {
+            let zone = if spec.one_zone { m.record.zone.as_str() } else { "" };
+            *all.entry(zone).or_default() += m.size.fits(spec.need);
+            let fits = round.soon[&m.id].fits(spec.need).clamp(0, i64::from(want)) as u32;
+            if fits > 0 {
+                by_zone.entry(zone).or_default().push((m.id.clone(), fits));
+            }
+        }
+        // Where most is free, and of those where most could become free.
+        let free = |z: &&str| by_zone.get(*z).map_or(0, |v| v.iter().map(|x| x.1).sum::<u32>()).min(want);
+        let Some(zone) = all.keys().copied().max_by_key(|z| (free(z), all[z])) else { return (want, None) };
+        let mut missing = want;
+        for (m, fits) in by_zone.remove(zone).unwrap_or_default() {
+            for _ in 0..fits.min(missing) {
+                round.hold(&m, spec.need);
+                missing -= 1;
+            }
         }
+        (missing, spec.one_zone.then(|| zone.to_owned()))
     }
 
     fn place(&mut self, ctx: &mut Ctx, id: &JobId, plan: &[(MachineId, i64)]) {
@@ -278,6 +315,7 @@
             job: id.clone(),
             task: s.need,
             count,
+            total: s.tasks,
             together: job.gang.is_some(),
             one_zone: s.one_zone,
             spread: s.spread,
@@ -289,7 +327,7 @@
             image_mb: s.image_mb,
             estimate: s.estimate,
             waited: ctx.now - job.waiting_since,
-            left: s.deadline.map(|d| s.submitted + d - ctx.wall),
+            left: ctx.cfg.start_by(s, ctx.wall).map(|t| t - ctx.wall),
             service: s.kind == Kind::Service,
         })
     }
--- a/crates/seamfront-core/src/types.rs
+++ b/crates/seamfront-core/src/types.rs
@@ -252,6 +252,14 @@
     pub limit: Amounts,
 }
 
+/// What operators state of a class of jobs: tasks started, or jobs finished, within a time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Objective {
+    pub class: String,
+    pub started: bool,
+    pub within: Micros,
+}
+
 /// Everything that the engine knows beforehand. Filled from the platform's file and the INI.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -259,6 +267,7 @@
     pub members: Vec<String>,
     pub me: usize,
     pub teams: Vec<Team>,
+    pub objectives: Vec<Objective>,
     pub report: Micros,
     pub lease: Micros,
     pub gang_wait: Micros,
@@ -307,6 +316,18 @@
         self.cancel - self.lease.with_drift() >= Micros::from_millis(5_500)
     }
 
+    /// Until when a job that was submitted at `submitted` should start, as of `wall`: the earliest
+    /// of its deadline and of its class's objectives that can still be met. A job that can meet
+    /// none any more gets none.
+    pub fn start_by(&self, spec: &JobSpec, wall: Micros) -> Option<Micros> {
+        let of_class = self.objectives.iter().filter(|o| o.class == spec.class).map(|o| {
+            let run = if o.started { Micros::ZERO } else { spec.estimate };
+            spec.submitted + o.within - run
+        });
+        let deadline = spec.deadline.map(|d| spec.submitted + d - spec.estimate);
+        of_class.chain(deadline).filter(|t| *t > wall).min()
+    }
+
     /// Teams are dealt to shares like cards, the largest first, so that shares are alike.
     pub fn share_of(&self, team: &str) -> Option<usize> {
         let mut order: Vec<&Team> = self.teams.iter().collect();
--- a/crates/seamfront-core/tests/world/mod.rs
+++ b/crates/seamfront-core/tests/world/mod.rs
@@ -151,6 +151,7 @@
         members: (0..NODES).map(|k| format!("n{k}")).collect(),
         me,
         teams: vec![team("a", 24), team("b", 10), team("c", 16), team("d", 0)],
+        objectives: vec![],
         report: ms(2_000),
         lease: ms(12_000),
         gang_wait: ms(15_000),
--- a/crates/seamfront/src/settings.rs
+++ b/crates/seamfront/src/settings.rs
@@ -59,6 +59,8 @@
 struct FileParams {
     #[serde(default)]
     teams: Vec<FileTeam>,
+    #[serde(default)]
+    objectives: Vec<FileObjective>,
     workers: FileWorkers,
     state: FileState,
     cloud: FileCloud,
@@ -74,6 +76,15 @@
     gpus_max: f64,
 }
 
+#[derive(Deserialize)]
+struct FileObjective {
+    kind: String,
+    #[serde(default)]
+    class: Option<String>,
+    #[serde(default)]
+    within_s: Option<f64>,
+}
+
 #[derive(Deserialize)]
 struct FileWorkers {
     report_s: f64,
@@ -164,6 +175,22 @@
         });
     }
     let p = &file.params;
+    let mut objectives = Vec::new();
+    for o in &p.objectives {
+        // Other kinds may come; what names no class or no time tells a scheduler nothing here.
+        let started = match o.kind.as_str() {
+            "wait" => true,
+            "finished" => false,
+            _ => continue,
+        };
+        if let (Some(class), Some(within)) = (&o.class, o.within_s) {
+            objectives.push(Objective {
+                class: class.clone(),
+                started,
+                within: secs("params.objectives.within_s", within)?,
+            });
+        }
+    }
     if !(1..=10_000).contains(&p.state.txn_ops) {
         return Err(invalid("params.state.txn_ops", "must be from 1 to 10000"));
     }
@@ -174,6 +201,7 @@
         me: members.iter().position(|m| m.0 == file.member).unwrap_or(0),
         members: members.iter().map(|m| m.0.clone()).collect(),
         teams,
+        objectives,
         report: secs("params.workers.report_s", p.workers.report_s)?,
         lease: secs("params.workers.lease_s", p.workers.lease_s)?,
         gang_wait: secs("params.workers.gang_wait_s", p.workers.gang_wait_s)?,
