--- a/crates/seamfront-core/src/capacity.rs
+++ b/crates/seamfront-core/src/capacity.rs
@@ -64,8 +64,11 @@
     pub rents: Vec<RentRecord>,
 }
 
-/// Waiting work that the machines at hand get through within this time is not rented for.
-const DRAIN_TARGET: Micros = Micros::from_secs(45);
+/// Work that the machines at hand get through in time is not rented for. In time is until it must
+/// start, within these bounds; work without a time to keep can wait longer.
+const DRAIN_MIN: Micros = Micros::from_secs(20);
+const DRAIN_MAX: Micros = Micros::from_secs(60);
+const DRAIN_IDLE: Micros = Micros::from_secs(90);
 /// How long ordinary work waits before lesser work is stopped elsewhere for it.
 const PATIENCE: Micros = Micros::from_secs(5);
 /// Machines cleared at once: what they free is seen before more work is stopped.
@@ -195,26 +198,33 @@
 ) {
     let mut want = rest;
     if !need.service {
-        // Slots of the share that could serve it sooner or later.
+        // Slots of the share that could serve it sooner or later, and what they still have to do.
         let mut slots: i64 = 0;
+        let mut busy: i64 = 0;
         let mut by_zone: BTreeMap<&str, i64> = BTreeMap::new();
         for m in p.machines.iter().filter(|m| m.share == share && !m.bad()) {
-            let fit = m.size.fits(need.task);
-            if suits(need.task, need.types.as_deref(), m.size, p.types)
-                && allowed(&m.record.kind, &m.record.zone, m.record.spot)
-                && fit > 0
-            {
+            let mut size = m.size;
+            if let Some(v) = m.view {
+                size.sub(v.pinned);
+                busy += v.used.cpus - v.pinned.cpus;
+            }
+            let fit = size.fits(need.task);
+            let suits = suits(need.task, need.types.as_deref(), m.size, p.types);
+            if suits && allowed(&m.record.kind, &m.record.zone, m.record.spot) && fit > 0 {
                 slots += fit;
                 *by_zone.entry(m.record.zone.as_str()).or_default() += fit;
+            } else if let Some(v) = m.view {
+                busy -= v.used.cpus - v.pinned.cpus;
             }
         }
         let unit = need.task.cpus.max(1);
-        let estimate = need.estimate.max(Micros::from_secs(5));
+        let estimate = need.estimate.max(Micros::from_secs(5)).0 / 1_000;
+        // What runs is half through on average.
         let sum = work.entry((share, need.task.gpus > 0)).or_default();
-        *sum += i64::from(need.count) * (estimate.0 / 1_000) * unit / 1_000;
-        let serving = slots * unit;
-        let needed = *sum * 1_000 / (DRAIN_TARGET.0 / 1_000);
-        let short = (needed - serving).max(0) / unit;
+        *sum += i64::from(need.count) * estimate * unit / 1_000;
+        let todo = *sum + busy * estimate / 2_000;
+        let target = need.left.map_or(DRAIN_IDLE, |l| l.clamp(DRAIN_MIN, DRAIN_MAX)).0 / 1_000;
+        let short = (todo * 1_000 / target - slots * unit).max(0) / unit;
         want = (short.min(i64::from(rest))) as u32;
         if need.together {
             let most = if need.one_zone { by_zone.values().max().copied().unwrap_or(0) } else { slots };
--- a/crates/seamfront-core/src/port.rs
+++ b/crates/seamfront-core/src/port.rs
@@ -187,6 +187,8 @@
     pub version: u64,
     pub up: bool,
     pub used: Amounts,
+    /// Of that, by services, which do not end by themselves.
+    pub pinned: Amounts,
     /// Empty since this long, with nothing unsettled; only then may it be asked for.
     pub idle: Option<Micros>,
     pub released: bool,
--- a/crates/seamfront-core/src/rounds.rs
+++ b/crates/seamfront-core/src/rounds.rs
@@ -351,10 +351,11 @@
                 };
                 let taken =
                     m.notice.is_some_and(|t| t + ctx.cfg.report.times(2) < ctx.now) && quiet > ctx.cfg.report.times(2);
-                let (least, loss) = self.lesser(ctx, m);
+                let (least, loss, pinned) = self.lesser(ctx, m);
                 MachineView {
                     least,
                     loss,
+                    pinned,
                     id: m.id.clone(),
                     version: m.version,
                     up: m.last_report.is_some() && quiet < ctx.cfg.report.times(3),
@@ -368,16 +369,20 @@
             .collect()
     }
 
-    /// The most important priority on a machine, and how much work would be lost by leaving it.
-    fn lesser(&self, ctx: &Ctx, m: &Machine) -> (Option<Priority>, Micros) {
-        let (mut least, mut loss) = (None, Micros::ZERO);
+    /// The most important priority on a machine, how much work would be lost by leaving it, and what
+    /// services take of it.
+    fn lesser(&self, ctx: &Ctx, m: &Machine) -> (Option<Priority>, Micros, Amounts) {
+        let (mut least, mut loss, mut pinned) = (None, Micros::ZERO, Amounts::default());
         for t in &m.tasks {
             let Some(j) = self.jobs.get(&t.job) else { continue };
             let Some(p) = j.tasks.get(&t.index) else { continue };
+            if j.spec.kind == Kind::Service {
+                pinned.add(j.spec.need);
+            }
             least = Some(least.map_or(j.spec.priority, |l: Priority| l.min(j.spec.priority)));
             loss += if j.spec.saves() { j.spec.save } else { p.running_since.map_or(Micros::ZERO, |s| ctx.now - s) };
         }
-        (least, loss)
+        (least, loss, pinned)
     }
 
     /// The leader wants these. Only what is empty, with nothing unsettled, is let go; for work of
