--- a/crates/seamfront-core/src/capacity.rs
+++ b/crates/seamfront-core/src/capacity.rs
@@ -112,9 +112,15 @@
 
     for (share, need) in &needs {
         let mut rest = need.count;
-        let allowed = |kind: &str, zone: &str, spot: bool| {
+        // Where nothing can be rented any more in the zone that it gathers in, another zone must
+        // hold all of it.
+        let mut zone = need.zone.as_deref().or(need.gathering.as_deref());
+        if need.zone.is_none() && zone.is_some_and(|z| !on_offer(p, need, z)) {
+            (zone, rest) = (None, need.total);
+        }
+        let allowed = |kind: &str, z: &str, spot: bool| {
             (need.spot || !spot)
-                && need.zone.as_deref().is_none_or(|z| z == zone)
+                && zone.is_none_or(|want| want == z)
                 && need.types.as_ref().is_none_or(|t| t.iter().any(|x| x == kind))
         };
         // What is on its way to this share.
@@ -186,6 +192,19 @@
     plan
 }
 
+fn on_offer(p: &Picture, need: &Need, zone: &str) -> bool {
+    p.types.iter().filter(|t| t.size.fits(need.task) > 0).any(|t| {
+        let named = need.types.as_ref().is_none_or(|names| names.contains(&t.name));
+        let here = t.zones.iter().any(|z| z == zone);
+        named
+            && here
+            && [true, false].into_iter().filter(|s| need.spot || !s).any(|spot| {
+                let offer = (t.name.clone(), zone.to_owned(), spot);
+                p.refused.get(&offer).is_none_or(|r| r.0 <= p.now)
+            })
+    })
+}
+
 #[allow(clippy::too_many_arguments)]
 fn rent_for(
     p: &Picture,
--- a/crates/seamfront-core/src/port.rs
+++ b/crates/seamfront-core/src/port.rs
@@ -166,6 +166,8 @@
     /// All of them at once (gangs), or as machines come.
     pub together: bool,
     pub one_zone: bool,
+    /// Where places are held for it already, if all must be in one zone.
+    pub gathering: Option<String>,
     pub spread: bool,
     pub priority: Priority,
     pub guaranteed: bool,
--- a/crates/seamfront-core/src/rounds.rs
+++ b/crates/seamfront-core/src/rounds.rs
@@ -138,7 +138,7 @@
                 (rest, zone) = self.gather(ctx, id, want, round);
             }
             if let Some(mut need) = self.need(ctx, id, rest, inside.contains(id)) {
-                need.zone = need.zone.or(zone);
+                need.gathering = zone;
                 self.needs.push(need);
             }
         }
@@ -171,7 +171,7 @@
                 missing -= 1;
             }
         }
-        (missing, spec.one_zone.then(|| zone.to_owned()))
+        (missing, (spec.one_zone && missing < want).then(|| zone.to_owned()))
     }
 
     fn place(&mut self, ctx: &mut Ctx, id: &JobId, plan: &[(MachineId, i64)]) {
@@ -318,6 +318,7 @@
             total: s.tasks,
             together: job.gang.is_some(),
             one_zone: s.one_zone,
+            gathering: None,
             spread: s.spread,
             priority: s.priority,
             guaranteed,
