--- a/crates/seamfront-core/src/link.rs
+++ b/crates/seamfront-core/src/link.rs
@@ -411,12 +411,18 @@
             self.link.claiming[slot] = true;
             let key = self.slot_key(slot);
             let request = StateCall::Commit { when: vec![(key.clone(), version)], apply: vec![Write::Delete { key }] };
-            self.state(request, Pending::HandBack { slot });
+            self.state(request, Pending::HandBack { slot, version });
         }
     }
 
-    pub(crate) fn hand_back_reply(&mut self, slot: usize) {
+    pub(crate) fn hand_back_reply(&mut self, slot: usize, version: u64, reply: &StateReply) {
         self.link.claiming[slot] = false;
+        let still = self.link.claims[slot].as_ref().is_some_and(|c| c.version == version);
+        if still && matches!(reply, StateReply::Committed { .. }) {
+            // Before the view shows it, or it would be taken for a claim whose answer was lost.
+            self.link.claims[slot] = None;
+            self.link.free_since[slot] = Some(self.now);
+        }
     }
 
     // ---- proof ---------------------------------------------------------------------------
--- a/crates/seamfront-core/src/share.rs
+++ b/crates/seamfront-core/src/share.rs
@@ -256,6 +256,11 @@
 
     /// The task is on no machine any more: frees its place, quota, zone and number.
     fn gone(&mut self, ctx: &mut Ctx, task: &TaskKey, why: Gone) {
+        self.take_away(ctx, task, why);
+        self.settle_job(ctx, &task.job);
+    }
+
+    fn take_away(&mut self, ctx: &mut Ctx, task: &TaskKey, why: Gone) {
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let Some(p) = job.tasks.remove(&task.index) else { return };
         self.quota.give(&job.spec.team, job.spec.need);
@@ -330,7 +335,6 @@
             if let Some(g) = self.jobs.get_mut(&task.job).and_then(|j| j.gang.as_mut()) {
                 g.gone(task.index);
             }
-            self.check_gang(ctx, &task.job);
         }
     }
 
@@ -712,7 +716,9 @@
         let over: Vec<MachineId> = self
             .machines
             .values()
-            .filter(|m| !m.expired && m.lease_over_at(version, ctx.cfg.lease, acting) < ctx.now)
+            // One placed just before the end is looked at again.
+            .filter(|m| !m.expired || !m.tasks.is_empty())
+            .filter(|m| m.lease_over_at(version, ctx.cfg.lease, acting) < ctx.now)
             .map(|m| m.id.clone())
             .collect();
         for id in over {
@@ -725,14 +731,8 @@
                 warn!(machine = %id, tasks = tasks.len(), "lease is over: its tasks are gone");
             }
             for t in tasks {
-                let recording = self
-                    .jobs
-                    .get(&t.job)
-                    .and_then(|j| j.tasks.get(&t.index))
-                    .is_some_and(|p| p.phase == Phase::Recording);
-                if !recording {
-                    self.gone(ctx, &t, Gone::Lost);
-                }
+                // Also what was never sent: it would never be, and would hold its number for ever.
+                self.gone(ctx, &t, Gone::Lost);
             }
         }
         for m in self.machines.values_mut() {
--- a/crates/seamfront-core/src/types.rs
+++ b/crates/seamfront-core/src/types.rs
@@ -238,9 +238,8 @@
 
 /// See [`JobSpec::suits`].
 pub fn suits(need: Amounts, allowed: Option<&[String]>, size: Amounts, types: &[MachineType]) -> bool {
-    let plain = |t: &MachineType| {
-        t.size.gpus == 0 && t.size.fits(need) > 0 && allowed.is_none_or(|a| a.iter().any(|n| *n == t.name))
-    };
+    let plain =
+        |t: &MachineType| t.size.gpus == 0 && t.size.fits(need) > 0 && allowed.is_none_or(|a| a.contains(&t.name));
     need.gpus > 0 || size.gpus == 0 || !types.iter().any(plain)
 }
 
@@ -295,7 +294,7 @@
     fn default() -> Self {
         Tuning {
             claim_ttl: Micros::from_millis(4_000),
-            move_every: Micros::from_secs(10),
+            move_every: Micros::from_secs(2),
             idle_keep: Micros::from_secs(40),
             retry_limit: 3,
         }
