--- a/crates/seamfront-core/src/capacity.rs
+++ b/crates/seamfront-core/src/capacity.rs
@@ -165,7 +165,9 @@
         rent_for(p, &mut plan, spending, *share, need, rest, &mut work, &allowed);
         // Live services do not wait for a machine to boot; other work is helped at lesser work's
         // cost only if there is nothing to rent.
-        if need.service || (plan.rents.len() == rented && need.waited > PATIENCE) {
+        if need.service
+            || (plan.rents.len() == rented && need.waited > if need.guaranteed { PATIENCE.over(4) } else { PATIENCE })
+        {
             let mut lesser: Vec<&Supply> = p
                 .machines
                 .iter()
--- a/crates/seamfront-core/src/rounds.rs
+++ b/crates/seamfront-core/src/rounds.rs
@@ -130,7 +130,7 @@
             self.place(ctx, id, &plan);
         }
         if rest > 0 && self.may_preempt(&spec, inside.contains(id)) {
-            rest -= self.make_room(ctx, id, rest, round);
+            rest -= self.make_room(ctx, id, rest, inside, round);
         }
         if rest > 0 {
             let mut zone = None;
@@ -224,12 +224,12 @@
         match spec.priority {
             Priority::Critical | Priority::Urgent => true,
             Priority::Normal => spec.deadline.is_some() || inside,
-            Priority::BestEffort => false,
+            Priority::BestEffort => inside,
         }
     }
 
     /// Stops lesser work for `n` tasks of a job; returns for how many room will come.
-    fn make_room(&mut self, ctx: &mut Ctx, id: &JobId, n: u32, round: &mut Round) -> u32 {
+    fn make_room(&mut self, ctx: &mut Ctx, id: &JobId, n: u32, inside: &BTreeSet<JobId>, round: &mut Round) -> u32 {
         let Some(job) = self.jobs.get(id) else { return 0 };
         let spec = job.spec.clone();
         let wish = Wish { spec: &spec, avoid: &job.avoid, now: ctx.now, types: ctx.types, any_size: false };
@@ -237,8 +237,9 @@
         let mut slots: Vec<(i64, MachineId, String, Vec<TaskKey>)> = Vec::new();
         for m in self.machines.values().filter(|m| wish.allowed(m)) {
             let Some(free) = round.soon.get(&m.id) else { continue };
-            if let Some((cost, victims)) = self.victims(ctx, m, *free, &spec) {
-                slots.push((cost, m.id.clone(), m.record.zone.clone(), victims));
+            if let Some((cost, victims)) = self.victims(ctx, m, *free, &spec, inside) {
+                // An image that must be fetched costs time as well.
+                slots.push((cost + wish.fetch_ms(m), m.id.clone(), m.record.zone.clone(), victims));
             }
         }
         slots.sort();
@@ -284,12 +285,27 @@
     }
 
     /// The cheapest lesser work whose end lets one more task of `spec` fit on this machine.
-    fn victims(&self, ctx: &Ctx, m: &Machine, free: Amounts, spec: &JobSpec) -> Option<(i64, Vec<TaskKey>)> {
+    /// Besides work of lower priority, a job within its team's guarantee may stop work of the same
+    /// priority that another team runs beyond its own.
+    fn victims(
+        &self,
+        ctx: &Ctx,
+        m: &Machine,
+        free: Amounts,
+        spec: &JobSpec,
+        inside: &BTreeSet<JobId>,
+    ) -> Option<(i64, Vec<TaskKey>)> {
+        let reclaims = inside.contains(&spec.id);
         let mut lesser: Vec<(Priority, i64, &TaskKey, Amounts)> = Vec::new();
         for t in &m.tasks {
             let Some(j) = self.jobs.get(&t.job) else { continue };
             let Some(p) = j.tasks.get(&t.index) else { continue };
-            if j.live() && p.stop.is_none() && j.spec.priority > spec.priority {
+            let beyond = reclaims
+                && j.spec.priority == spec.priority
+                && j.spec.kind != Kind::Service
+                && j.spec.team != spec.team
+                && !inside.contains(&t.job);
+            if j.live() && p.stop.is_none() && (j.spec.priority > spec.priority || beyond) {
                 let ran = p.running_since.map_or(0, |s| (ctx.now - s).0 / 1_000);
                 let lost = if j.spec.saves() { 2_000 } else { 1_000 + ran };
                 lesser.push((j.spec.priority, lost, t, j.spec.need));
