--- a/crates/seamfront-core/src/rounds.rs
+++ b/crates/seamfront-core/src/rounds.rs
@@ -129,7 +129,7 @@
         if !plan.is_empty() {
             self.place(ctx, id, &plan);
         }
-        if rest > 0 && self.may_preempt(&spec, inside.contains(id)) {
+        if rest > 0 && self.may_preempt(ctx, &spec, inside.contains(id)) {
             rest -= self.make_room(ctx, id, rest, inside, round);
         }
         if rest > 0 {
@@ -218,12 +218,15 @@
         }
     }
 
-    /// Only work of higher priority stops other work, and of ordinary work only what has a time to
-    /// keep: stopping costs progress.
-    fn may_preempt(&self, spec: &JobSpec, inside: bool) -> bool {
+    /// Only work of higher priority stops other work, and of ordinary work only what would be late
+    /// otherwise: stopping costs progress.
+    fn may_preempt(&self, ctx: &Ctx, spec: &JobSpec, inside: bool) -> bool {
         match spec.priority {
             Priority::Critical | Priority::Urgent => true,
-            Priority::Normal => spec.deadline.is_some() || inside,
+            Priority::Normal => {
+                let soon = ctx.wall + spec.estimate + Micros::from_secs(30);
+                inside || ctx.cfg.start_by(spec, ctx.wall).is_some_and(|t| t < soon)
+            }
             Priority::BestEffort => inside,
         }
     }
