Only its owner gives a machine up, under its claim; stale views are ignored

Now a share's word counts only with its claim's present version, and machines are given up by a write of the owner's under that claim, not on the leader's say-so. The seeded world now holds messages between controllers back and fails when a machine that is heard of is returned under its tasks.

--- a/crates/seamfront-core/src/capacity.rs
+++ b/crates/seamfront-core/src/capacity.rs
@@ -193,7 +193,7 @@
         let keep = p.tuning.idle_keep.times(if cheap { CHEAP_FACTOR } else { 1 });
         let spare =
             !wanted.contains(m.id) && !p.clearing.contains_key(m.id) && m.up() && m.idle().is_some_and(|t| t > keep);
-        if m.bad() || spare {
+        if spare {
             plan.returns.push(m.id.clone());
         }
     }
--- a/crates/seamfront-core/src/engine.rs
+++ b/crates/seamfront-core/src/engine.rs
@@ -428,9 +428,9 @@
                     when.push((key.clone(), *version));
                     apply.push(Write::Delete { key });
                 }
-                ShareWrite::Raise { machine, version, record } => {
+                ShareWrite::Machine { machine, version, record } => {
                     when.push((key, *version));
-                    apply.push(raise_write(machine, record));
+                    apply.push(machine_write(machine, record));
                 }
                 ShareWrite::Read { .. } => {}
             }
@@ -440,7 +440,7 @@
 
     fn write_key(&self, k: usize, w: &ShareWrite) -> String {
         match w {
-            ShareWrite::Raise { machine, .. } => crate::fleet::machine_key(machine),
+            ShareWrite::Machine { machine, .. } => crate::fleet::machine_key(machine),
             ShareWrite::Record { job, .. }
             | ShareWrite::End { job, .. }
             | ShareWrite::DropRecord { job, .. }
@@ -585,7 +585,13 @@
                     }
                 }
             }
-            MeshMessage::Share { share, needs, machines, .. } => self.share_told(share, needs, machines),
+            MeshMessage::Share { share, version, needs, machines } => {
+                // Held back by the network, a former holder's word may come after its share has passed
+                // on: it must not count, least of all its opinion of machines.
+                if self.link.claims.get(share).is_some_and(|c| c.as_ref().is_some_and(|c| c.version == version)) {
+                    self.share_told(share, needs, machines);
+                }
+            }
             MeshMessage::Release { share, machines, above } => {
                 let now = self.now;
                 self.with_share(share, |s, ctx| s.release(ctx, &machines, above));
--- a/crates/seamfront-core/src/fleet.rs
+++ b/crates/seamfront-core/src/fleet.rs
@@ -25,8 +25,6 @@
     pub session: u64,
     /// No answer came. Settled only by a higher token seen, a new session, or the machine's end.
     pub unknown: bool,
-    /// The record is being rewritten to raise the token.
-    pub raising: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -58,6 +56,10 @@
     /// Different jobs that failed here since something last went well.
     pub faults: BTreeSet<JobId>,
     pub suspect: bool,
+    /// To be returned whatever is on it.
+    pub hopeless: bool,
+    /// Its record is being written.
+    pub writing: bool,
     /// Refused for lack of room: our count and the worker's differ; wait for that to settle.
     pub full_until: Micros,
     pub expired: bool,
@@ -88,6 +90,8 @@
             images: Vec::new(),
             faults: BTreeSet::new(),
             suspect: false,
+            hopeless: false,
+            writing: false,
             full_until: Micros::ZERO,
             expired: false,
         }
--- a/crates/seamfront-core/src/leader.rs
+++ b/crates/seamfront-core/src/leader.rs
@@ -269,12 +269,8 @@
             clearing: &l.clearing,
         };
         let mut plan = capacity::plan(&picture);
-        let released: BTreeSet<MachineId> = picture
-            .machines
-            .iter()
-            .filter(|m| m.view.is_some_and(|v| v.released || v.bad))
-            .map(|m| m.id.clone())
-            .collect();
+        let released: BTreeSet<MachineId> =
+            picture.machines.iter().filter(|m| m.view.is_some_and(|v| v.released)).map(|m| m.id.clone()).collect();
         drop(picture);
         if !heard {
             // A share that nobody speaks for may need what looks idle.
--- a/crates/seamfront-core/src/rounds.rs
+++ b/crates/seamfront-core/src/rounds.rs
@@ -352,25 +352,35 @@
         })
     }
 
-    /// What the leader is told of the machines.
-    pub fn views(&self, ctx: &Ctx) -> Vec<MachineView> {
+    /// Marks machines that should be returned with whatever may be on them. Only their owner can
+    /// tell, and only while its claim stands: the mark is written under that claim.
+    pub fn judge_machines(&mut self, ctx: &Ctx) {
         let silent_limit = ctx.cfg.report.times(4) + Micros::from_secs(4);
         let up: Vec<&Machine> = self.machines.values().filter(|m| m.last_report.is_some()).collect();
         let silent = up.iter().filter(|m| m.silent_for(ctx.now) > silent_limit).count();
         // When many are silent at once, it is rather our own network: their leases decide.
         let local = silent * 3 > up.len() && silent > 2;
+        for m in self.machines.values_mut() {
+            let quiet = m.silent_for(ctx.now);
+            let kind = ctx.types.iter().find(|t| t.name == m.record.kind);
+            let boot = kind.map_or(Micros::from_secs(60), |t| t.boot);
+            let gone = match m.last_report {
+                Some(_) => (quiet > silent_limit && !local) || quiet > ctx.cfg.lease.times(3).over(2),
+                None => quiet > boot.times(4) + Micros::from_secs(30),
+            };
+            let taken =
+                m.notice.is_some_and(|t| t + ctx.cfg.report.times(2) < ctx.now) && quiet > ctx.cfg.report.times(2);
+            m.hopeless = ctx.acting && (gone || taken || (m.suspect && m.empty()));
+        }
+    }
+
+    /// What the leader is told of the machines.
+    pub fn views(&self, ctx: &Ctx) -> Vec<MachineView> {
         self.machines
             .values()
             .filter(|m| m.record.share.is_some())
             .map(|m| {
                 let quiet = m.silent_for(ctx.now);
-                let boot = ctx.types.iter().find(|t| t.name == m.record.kind).map_or(Micros::from_secs(60), |t| t.boot);
-                let bad = match m.last_report {
-                    Some(_) => (quiet > silent_limit && !local) || quiet > ctx.cfg.lease.times(3).over(2),
-                    None => quiet > boot.times(4) + Micros::from_secs(30),
-                };
-                let taken =
-                    m.notice.is_some_and(|t| t + ctx.cfg.report.times(2) < ctx.now) && quiet > ctx.cfg.report.times(2);
                 let (least, loss, pinned) = self.lesser(ctx, m);
                 MachineView {
                     least,
@@ -382,7 +392,7 @@
                     used: m.used,
                     idle: m.idle_since.filter(|_| m.empty()).map(|t| ctx.now - t),
                     released: m.released.is_some(),
-                    bad: bad || taken || (m.suspect && m.empty()),
+                    bad: m.hopeless,
                     leaving: m.notice.is_some(),
                 }
             })
--- a/crates/seamfront-core/src/share.rs
+++ b/crates/seamfront-core/src/share.rs
@@ -43,11 +43,31 @@
 /// A write that the engine should make for this share, with what it stands for.
 #[derive(Clone, Debug)]
 pub enum ShareWrite {
-    Record { job: JobId, gen: u64, version: u64, value: serde_json::Value },
-    End { job: JobId, job_version: u64, record_version: u64, tasks: u32 },
-    DropRecord { job: JobId, version: u64 },
-    Read { job: JobId },
-    Raise { machine: MachineId, version: u64, record: MachineRecord },
+    Record {
+        job: JobId,
+        gen: u64,
+        version: u64,
+        value: serde_json::Value,
+    },
+    End {
+        job: JobId,
+        job_version: u64,
+        record_version: u64,
+        tasks: u32,
+    },
+    DropRecord {
+        job: JobId,
+        version: u64,
+    },
+    Read {
+        job: JobId,
+    },
+    /// Raises a machine's token, or gives the machine up.
+    Machine {
+        machine: MachineId,
+        version: u64,
+        record: MachineRecord,
+    },
 }
 
 pub struct Share {
@@ -206,9 +226,6 @@
                     // Kept or given back by the leader, or fenced anew by ourselves.
                     m.released = None;
                     m.clearing = None;
-                    if let Some(d) = &mut m.direct {
-                        d.raising = false;
-                    }
                 }
                 m.record = record;
                 m.size = size;
@@ -682,7 +699,7 @@
                 continue;
             }
             debug!(machine = %id, token, orders = orders.len(), "starting tasks directly");
-            m.direct = Some(Direct { token, session: m.session, unknown: false, raising: false });
+            m.direct = Some(Direct { token, session: m.session, unknown: false });
             ctx.fx.push(Effect::Direct { machine: id.clone(), addr, session: m.session, token, orders });
         }
     }
@@ -735,6 +752,7 @@
                 self.gone(ctx, &t, Gone::Lost);
             }
         }
+        self.judge_machines(ctx);
         for m in self.machines.values_mut() {
             let idle = m.empty() && m.record.share.is_some();
             if let Some(since) = m.clearing {
@@ -759,18 +777,20 @@
     pub fn writes(&mut self, now: Micros, budget: usize) -> Vec<ShareWrite> {
         let mut out = Vec::new();
         for (id, m) in &mut self.machines {
-            if m.released.is_some_and(|t| now - t > RELEASE_KEPT) && m.record.share.is_some() {
-                // The leader did not use it. Rewriting the record makes a late move of its fail.
-                m.released = Some(now);
-                out.push(ShareWrite::Raise { machine: id.clone(), version: m.version, record: m.record.clone() });
+            if m.writing || m.record.share.is_none() {
                 continue;
             }
-            if let Some(d) = m.direct.as_mut().filter(|d| d.unknown && !d.raising) {
-                if m.record.share.is_some() && d.token == m.version.max(self.version) {
-                    d.raising = true;
-                    out.push(ShareWrite::Raise { machine: id.clone(), version: m.version, record: m.record.clone() });
-                }
+            let mut record = m.record.clone();
+            let unsettled = m.direct.as_ref().is_some_and(|d| d.unknown && d.token == m.version.max(self.version));
+            // Released and not used by the leader: rewriting the record makes a late move of its fail.
+            let kept = m.released.is_some_and(|t| now - t > RELEASE_KEPT);
+            if m.hopeless {
+                record.share = None;
+            } else if !unsettled && !kept {
+                continue;
             }
+            m.writing = true;
+            out.push(ShareWrite::Machine { machine: id.clone(), version: m.version, record });
         }
         let mut due: Vec<(Priority, JobId)> = self
             .jobs
@@ -809,15 +829,14 @@
     /// The outcome of a record's write: the new version, or None if that must be read first.
     pub fn written(&mut self, ctx: &mut Ctx, write: &ShareWrite, outcome: WriteOutcome) {
         let (job_id, gen) = match write {
-            ShareWrite::Raise { machine, .. } => {
+            ShareWrite::Machine { machine, record, .. } => {
                 if let Some(m) = self.machines.get_mut(machine) {
-                    if let Some(d) = &mut m.direct {
-                        d.raising = false;
-                    }
+                    m.writing = false;
                     if let WriteOutcome::Done(v) = outcome {
                         m.version = m.version.max(v);
                         m.released = None;
                         m.clearing = None;
+                        m.record = record.clone();
                     }
                 }
                 return;
@@ -861,7 +880,7 @@
                 }
                 ShareWrite::DropRecord { .. } => job.record.version = Some(0),
                 ShareWrite::Read { .. } => job.record.version = Some(v),
-                ShareWrite::Raise { .. } => {}
+                ShareWrite::Machine { .. } => {}
             },
         }
         let id = job_id.clone();
@@ -912,6 +931,6 @@
     }
 }
 
-pub fn raise_write(machine: &MachineId, record: &MachineRecord) -> Write {
+pub fn machine_write(machine: &MachineId, record: &MachineRecord) -> Write {
     Write::Put { key: machine_key(machine), value: serde_json::to_value(record).unwrap_or_default(), lease: None }
 }
--- a/crates/seamfront-core/tests/world/mod.rs
+++ b/crates/seamfront-core/tests/world/mod.rs
@@ -492,8 +492,11 @@
                 self.after(d, Event::Direct { node, life, machine, session, token, orders, late: false })
             }
             Effect::Mesh { to, message } => {
-                let cut = self.nodes[node].cut_mesh > self.now || self.nodes[to].cut_mesh > self.now;
-                if !cut && !self.lost() {
+                // Half of what a cut stops is held back and comes when it ends.
+                let cut = self.nodes[node].cut_mesh.max(self.nodes[to].cut_mesh);
+                let held = cut > self.now && self.rng.random_range(0..2) == 0;
+                let d = if held { cut - self.now + d } else { d };
+                if (cut <= self.now || held) && !self.lost() {
                     let life = self.nodes[to].life;
                     let command = Box::new(Command::Mesh { from: node, message });
                     self.after(d, Event::ToNode { node: to, life, command });
@@ -651,6 +654,14 @@
             CloudCall::Delete { machines } => {
                 for id in machines {
                     if let Some(w) = self.truth.workers.get_mut(&id) {
+                        let heard = self.now - w.lease_from < ms(3_000) && w.lease_from > w.up_at;
+                        let runs = w.tasks.values().any(|t| t.on_machine());
+                        if !w.dead && heard && runs && w.notice_at.is_none() {
+                            let t = self.now.as_secs_decimal();
+                            self.truth
+                                .broken
+                                .push(format!("{t:.3} {id} was returned under its tasks, though heard of"));
+                        }
                         w.dead = true;
                     }
                 }
