--- a/crates/seamfront-core/src/engine.rs
+++ b/crates/seamfront-core/src/engine.rs
@@ -70,6 +70,9 @@
     types_busy: bool,
     types_next: Micros,
     pub(crate) peers: Vec<Peer>,
+    /// When any worker was last heard of, whoever owns its machine.
+    last_hello: Micros,
+    deaf_since: Option<Micros>,
     alive_next: Micros,
     tell_next: Micros,
     progress_next: Micros,
@@ -101,6 +104,8 @@
             types_busy: false,
             types_next: Micros::ZERO,
             peers: vec![Peer::default(); n],
+            last_hello: Micros::ZERO,
+            deaf_since: None,
             alive_next: Micros::ZERO,
             tell_next: Micros::ZERO,
             progress_next: Micros::ZERO,
@@ -147,6 +152,7 @@
     }
 
     fn tick(&mut self) {
+        self.listen();
         self.link_tick();
         self.types_tick();
         for k in 0..self.shares.len() {
@@ -314,6 +320,7 @@
     /// Answers a worker's report: with orders if its machine is ours and the claim stands, else by
     /// naming the owner.
     fn report(&mut self, to: ReplyTo, report: &Report) {
+        self.last_hello = self.now;
         let owner = self.machines.get(&report.machine).and_then(|m| m.0.share);
         let Some(k) = owner else {
             return self.fx.push(Effect::Elsewhere { to, member: None });
@@ -483,6 +490,34 @@
 
     // ---- between controllers ---------------------------------------------------------------
 
+    /// No worker reaches this node, though some of its own did. Another node may hear them.
+    pub(crate) fn deaf(&self) -> bool {
+        self.deaf_since.is_some()
+    }
+
+    /// Without shares a node hears of no worker in any case, so it is believed again after a while.
+    fn listen(&mut self) {
+        let quiet = self.now - self.last_hello > self.cfg.report.times(3) + Micros::from_secs(2);
+        let heard_once = |s: &Share| s.machines.values().any(|m| m.last_report.is_some() && m.record.share.is_some());
+        let own = self.shares.iter().flatten().any(heard_once);
+        match self.deaf_since {
+            None if quiet && own => {
+                warn!("no worker reaches this controller");
+                self.deaf_since = Some(self.now);
+            }
+            Some(t) if !quiet || (!own && self.now - t > Micros::from_secs(30)) => self.deaf_since = None,
+            _ => {}
+        }
+    }
+
+    /// A peer that is ready hears workers, or it would not say so.
+    pub(crate) fn peer_ready(&self) -> bool {
+        (0..self.peers.len()).filter(|k| *k != self.cfg.me).any(|k| {
+            let p = &self.peers[k];
+            p.ready_since.is_some() && self.now - p.heard < Micros::from_secs(2)
+        })
+    }
+
     fn ready(&self) -> bool {
         self.link.loaded()
             && self.link.lease.is_some()
@@ -493,11 +528,7 @@
     /// Can this node really take requests? When the store answers nobody, being taken out helps
     /// no user, who would only wait for the way back: then the node stays and says so itself.
     fn healthy(&self) -> bool {
-        let others = (0..self.peers.len()).filter(|k| *k != self.cfg.me).any(|k| {
-            let p = &self.peers[k];
-            p.ready_since.is_some() && self.now - p.heard < Micros::from_secs(2)
-        });
-        self.ready() || (self.link.loaded() && !self.types.is_empty() && !others)
+        self.ready() || (self.link.loaded() && !self.types.is_empty() && !self.peer_ready())
     }
 
     fn talk(&mut self) {
@@ -506,7 +537,7 @@
             self.alive_next = self.now + Micros::from_millis(500);
             let claims: Vec<(String, u64)> =
                 (0..=self.leader_slot()).filter_map(|s| self.slot_version(s).map(|v| (self.slot_key(s), v))).collect();
-            let ready = self.ready();
+            let ready = self.ready() && !self.deaf();
             for to in (0..self.peers.len()).filter(|k| *k != me) {
                 let message = MeshMessage::Alive { ready, claims: claims.clone() };
                 self.fx.push(Effect::Mesh { to, message });
--- a/crates/seamfront-core/src/link.rs
+++ b/crates/seamfront-core/src/link.rs
@@ -336,7 +336,9 @@
                     // The home member first, then the next in turn.
                     let rank = (self.cfg.me + n - slot % n) % n;
                     let since = *self.link.free_since[slot].get_or_insert(self.now);
-                    if self.now - since < Micros::from_millis(400).times(rank as i64) {
+                    // One that no worker reaches comes last, but it comes: perhaps there is nobody else.
+                    let deaf = if self.deaf() { Micros::from_secs(5) } else { Micros::ZERO };
+                    if self.now - since < Micros::from_millis(400).times(rank as i64) + deaf {
                         continue;
                     }
                     0
@@ -391,22 +393,25 @@
         self.shares[slot] = Some(share);
     }
 
-    /// A share goes back to its home member once that is healthy again. Tasks notice nothing: the
-    /// new holder finds all of it recorded.
+    /// A share goes back to its home member once that is healthy again, and any share is given away
+    /// by one that no worker reaches while a peer hears them. Tasks notice nothing: the new holder
+    /// finds all of it recorded.
     fn hand_back(&mut self) {
+        let leave = self.deaf() && self.peer_ready();
         for slot in 0..self.cfg.members.len() {
-            if slot == self.cfg.me || self.link.claiming[slot] {
+            if self.link.claiming[slot] || (slot == self.cfg.me && !leave) {
                 continue;
             }
             let Some(share) = self.shares[slot].as_ref().filter(|s| s.phase == SharePhase::Ready) else { continue };
             let peer = &self.peers[slot];
             let healthy = peer.ready_since.is_some_and(|t| self.now - t > Micros::from_secs(3));
             let fresh = self.now - peer.heard < Micros::from_secs(2);
-            if !healthy || !fresh || self.now - share.claimed_at < Micros::from_secs(4) {
+            let settled = self.now - share.claimed_at > Micros::from_secs(4);
+            if !settled || !(leave || (healthy && fresh)) {
                 continue;
             }
             let version = share.version;
-            info!(share = slot, to = %self.cfg.members[slot], "handing share back");
+            info!(share = slot, to = %self.cfg.members[slot], leave, "handing share back");
             self.drop_slot(slot, "handed back");
             self.link.claiming[slot] = true;
             let key = self.slot_key(slot);
