--- a/crates/seamfront-core/src/fleet.rs
+++ b/crates/seamfront-core/src/fleet.rs
@@ -52,6 +52,8 @@
     /// Being emptied for another share's more important work.
     pub clearing: Option<Micros>,
     pub idle_since: Option<Micros>,
+    /// Since when nothing here uses its accelerators, which are what it is paid for.
+    pub unused_since: Option<Micros>,
     pub images: Vec<(String, i64)>,
     /// Different jobs that failed here since something last went well.
     pub faults: BTreeSet<JobId>,
@@ -87,6 +89,7 @@
             released: None,
             clearing: None,
             idle_since: None,
+            unused_since: None,
             images: Vec::new(),
             faults: BTreeSet::new(),
             suspect: false,
@@ -141,6 +144,12 @@
         last + lease.with_drift() + Micros::from_millis(200)
     }
 
+    /// Plain work may fill a machine with accelerators while these are used now and then, but must
+    /// not keep it from becoming empty when they are not.
+    pub fn takes_plain(&self, now: Micros, keep: Micros) -> bool {
+        self.size.gpus == 0 || self.unused_since.is_none_or(|t| now - t < keep.over(2))
+    }
+
     pub fn has_image(&self, image: &str) -> bool {
         self.images.iter().any(|(i, _)| i == image)
     }
--- a/crates/seamfront-core/src/placement.rs
+++ b/crates/seamfront-core/src/placement.rs
@@ -12,14 +12,15 @@
     pub avoid: &'a BTreeMap<MachineId, Micros>,
     pub now: Micros,
     pub types: &'a [MachineType],
-    /// Whether machines that do not suit the task (see `JobSpec::suits`) may be used all the same.
-    pub any_size: bool,
+    /// Whether machines that do not suit the task (see `JobSpec::suits`) may be used all the same,
+    /// as long as they are not about to be returned: idle machines are kept for so long.
+    pub any_size: Option<Micros>,
 }
 
 impl Wish<'_> {
     pub fn allowed(&self, m: &Machine) -> bool {
         self.spec.allows(&m.record.kind, &m.record.zone, m.record.spot)
-            && (self.any_size || self.spec.suits(m.size, self.types))
+            && (self.spec.suits(m.size, self.types) || self.any_size.is_some_and(|keep| m.takes_plain(self.now, keep)))
             && self.avoid.get(&m.id).is_none_or(|until| *until <= self.now)
     }
 
--- a/crates/seamfront-core/src/rounds.rs
+++ b/crates/seamfront-core/src/rounds.rs
@@ -94,7 +94,7 @@
         }
         let machines: Vec<&Machine> = self.machines.values().filter(|m| round.room.contains_key(&m.id)).collect();
         let taken = job.zones(|m| self.machines.get(m).map(|m| m.record.zone.as_str()));
-        let mut wish = Wish { spec: &spec, avoid: &job.avoid, now: ctx.now, types: ctx.types, any_size: false };
+        let mut wish = Wish { spec: &spec, avoid: &job.avoid, now: ctx.now, types: ctx.types, any_size: None };
         let mut taken = taken;
         let mut plan: Vec<(MachineId, i64)> = Vec::new();
         let mut rest = want;
@@ -102,7 +102,7 @@
         // arrays leave soon, and what saves can be moved at little loss.
         let sizes: &[bool] = if spec.kind == Kind::Service || spec.need.gpus > 0 { &[false] } else { &[false, true] };
         for any_size in sizes {
-            wish.any_size = *any_size;
+            wish.any_size = any_size.then_some(ctx.cfg.tuning.idle_keep);
             let got = wish.choose(&machines, &mut round.room, &taken, rest, !gang);
             for m in got {
                 *taken.entry(m.record.zone.as_str()).or_insert(0) += 1;
@@ -150,7 +150,7 @@
     fn gather(&self, ctx: &Ctx, id: &JobId, want: u32, round: &mut Round) -> (u32, Option<String>) {
         let Some(job) = self.jobs.get(id) else { return (want, None) };
         let spec = &job.spec;
-        let wish = Wish { spec, avoid: &job.avoid, now: ctx.now, types: ctx.types, any_size: false };
+        let wish = Wish { spec, avoid: &job.avoid, now: ctx.now, types: ctx.types, any_size: None };
         let mut by_zone: BTreeMap<&str, Vec<(MachineId, u32)>> = BTreeMap::new();
         let mut all: BTreeMap<&str, i64> = BTreeMap::new();
         for m in self.machines.values().filter(|m| wish.allowed(m) && round.soon.contains_key(&m.id)) {
@@ -235,7 +235,7 @@
     fn make_room(&mut self, ctx: &mut Ctx, id: &JobId, n: u32, inside: &BTreeSet<JobId>, round: &mut Round) -> u32 {
         let Some(job) = self.jobs.get(id) else { return 0 };
         let spec = job.spec.clone();
-        let wish = Wish { spec: &spec, avoid: &job.avoid, now: ctx.now, types: ctx.types, any_size: false };
+        let wish = Wish { spec: &spec, avoid: &job.avoid, now: ctx.now, types: ctx.types, any_size: None };
         let taken = job.zones(|m| self.machines.get(m).map(|m| m.record.zone.as_str()));
         let mut slots: Vec<(i64, MachineId, String, Vec<TaskKey>)> = Vec::new();
         for m in self.machines.values().filter(|m| wish.allowed(m)) {
--- a/crates/seamfront-core/src/share.rs
+++ b/crates/seamfront-core/src/share.rs
@@ -762,10 +762,17 @@
                     m.clearing = None;
                 }
             }
+            let jobs = &self.jobs;
+            let uses = |t: &TaskKey| jobs.get(&t.job).is_some_and(|j| j.spec.need.gpus > 0);
+            if m.size.gpus == 0 || m.tasks.iter().any(uses) {
+                m.unused_since = None;
+            } else if m.unused_since.is_none() {
+                m.unused_since = Some(ctx.now);
+            }
             if !idle {
                 m.idle_since = None;
             } else if m.idle_since.is_none() {
-                m.idle_since = Some(ctx.now);
+                m.idle_since = Some(m.unused_since.unwrap_or(ctx.now));
             }
         }
     }
