--- a/crates/seamfront-core/src/rounds.rs
+++ b/crates/seamfront-core/src/rounds.rs
@@ -45,11 +45,32 @@
         self.needs.clear();
         let inside = quota::guaranteed(&ctx.cfg.teams, self.jobs.values());
         let mut round = self.survey(ctx);
+        let mut kept_free = false;
         for id in self.order(ctx, &inside) {
+            let critical = self.jobs.get(&id).is_some_and(|j| j.spec.priority == Priority::Critical);
+            if !critical && !kept_free {
+                kept_free = true;
+                self.keep_free(ctx, &mut round);
+            }
             self.place_job(ctx, &id, &inside, &mut round);
         }
     }
 
+    /// Live services must start at once when they come. Of what is free, room for one more like the
+    /// largest there is is kept from all lesser work; nothing is stopped for that.
+    fn keep_free(&self, ctx: &Ctx, round: &mut Round) {
+        let services = self.jobs.values().filter(|j| j.live() && j.spec.kind == Kind::Service);
+        let size = |j: &&Job| (i64::from(j.spec.tasks) * j.spec.need.cpus, j.spec.id.clone());
+        let Some(largest) = services.filter(|j| j.spec.priority == Priority::Critical).max_by_key(size) else { return };
+        let spec = &largest.spec;
+        let wish = Wish { spec, avoid: &largest.avoid, now: ctx.now, types: ctx.types, any_size: None };
+        let machines: Vec<&Machine> = self.machines.values().filter(|m| round.room.contains_key(&m.id)).collect();
+        let spare = wish.choose(&machines, &mut round.room.clone(), &BTreeMap::new(), spec.tasks, true);
+        for m in spare {
+            round.hold(&m.id, spec.need);
+        }
+    }
+
     /// By priority, then guarantee, then by when it must start to be in time, the oldest first.
     /// Work that can't be in time any more comes after work that can.
     fn order(&self, ctx: &Ctx, inside: &BTreeSet<JobId>) -> Vec<JobId> {
