--- a/crates/seamfront-core/src/share.rs
+++ b/crates/seamfront-core/src/share.rs
@@ -755,6 +755,8 @@
         self.judge_machines(ctx);
         for m in self.machines.values_mut() {
             let idle = m.empty() && m.record.share.is_some();
+            // Time to boot is not idle time, or a machine would be returned as soon as it is up.
+            let up = m.last_report.is_some();
             if let Some(since) = m.clearing {
                 if idle && m.released.is_none() {
                     m.released = Some(ctx.now);
@@ -764,12 +766,12 @@
             }
             let jobs = &self.jobs;
             let uses = |t: &TaskKey| jobs.get(&t.job).is_some_and(|j| j.spec.need.gpus > 0);
-            if m.size.gpus == 0 || m.tasks.iter().any(uses) {
+            if m.size.gpus == 0 || !up || m.tasks.iter().any(uses) {
                 m.unused_since = None;
             } else if m.unused_since.is_none() {
                 m.unused_since = Some(ctx.now);
             }
-            if !idle {
+            if !idle || !up {
                 m.idle_since = None;
             } else if m.idle_since.is_none() {
                 m.idle_since = Some(m.unused_since.unwrap_or(ctx.now));
