--- a/crates/seamfront-core/src/rounds.rs
+++ b/crates/seamfront-core/src/rounds.rs
@@ -17,14 +17,6 @@
 /// Without a change, a round now and then notices what time alone has changed.
 const ROUND_IDLE: Micros = Micros::from_millis(500);
 
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Preemption {
-    None,
-    /// Only what saves its progress and has no time to keep.
-    Gentle,
-    Full,
-}
-
 struct Round {
     /// Free now.
     room: Room,
@@ -161,10 +153,8 @@
         if !plan.is_empty() {
             self.place(ctx, id, &plan);
         }
-        let preemption = self.preemption(ctx, &spec, inside.contains(id));
-        if rest > 0 && preemption != Preemption::None {
-            let gentle = preemption == Preemption::Gentle;
-            rest -= self.make_room(ctx, id, rest, gentle, inside, round);
+        if rest > 0 && self.may_preempt(ctx, &spec, inside.contains(id)) {
+            rest -= self.make_room(ctx, id, rest, inside, round);
         }
         if rest > 0 {
             let mut zone = None;
@@ -252,30 +242,21 @@
         }
     }
 
-    /// Only work of higher priority stops other work. Ordinary work that is not late yet does so
-    /// gently, since stopping costs progress.
-    fn preemption(&self, ctx: &Ctx, spec: &JobSpec, inside: bool) -> Preemption {
-        let start_by = ctx.cfg.start_by(spec, ctx.wall);
-        let late = start_by.is_some_and(|t| t < ctx.wall + spec.estimate + Micros::from_secs(30));
+    /// Only work of higher priority stops other work, and of ordinary work only what would be late
+    /// otherwise: stopping costs progress.
+    fn may_preempt(&self, ctx: &Ctx, spec: &JobSpec, inside: bool) -> bool {
         match spec.priority {
-            Priority::Critical | Priority::Urgent => Preemption::Full,
-            Priority::Normal if inside || late => Preemption::Full,
-            Priority::Normal if start_by.is_some() => Preemption::Gentle,
-            Priority::BestEffort if inside => Preemption::Full,
-            _ => Preemption::None,
+            Priority::Critical | Priority::Urgent => true,
+            Priority::Normal => {
+                let soon = ctx.wall + spec.estimate + Micros::from_secs(30);
+                inside || ctx.cfg.start_by(spec, ctx.wall).is_some_and(|t| t < soon)
+            }
+            Priority::BestEffort => inside,
         }
     }
 
     /// Stops lesser work for `n` tasks of a job; returns for how many room will come.
-    fn make_room(
-        &mut self,
-        ctx: &mut Ctx,
-        id: &JobId,
-        n: u32,
-        gentle: bool,
-        inside: &BTreeSet<JobId>,
-        round: &mut Round,
-    ) -> u32 {
+    fn make_room(&mut self, ctx: &mut Ctx, id: &JobId, n: u32, inside: &BTreeSet<JobId>, round: &mut Round) -> u32 {
         let Some(job) = self.jobs.get(id) else { return 0 };
         let spec = job.spec.clone();
         let wish = Wish { spec: &spec, avoid: &job.avoid, now: ctx.now, types: ctx.types, any_size: None };
@@ -283,7 +264,7 @@
         let mut slots: Vec<(i64, MachineId, String, Vec<TaskKey>)> = Vec::new();
         for m in self.machines.values().filter(|m| wish.allowed(m)) {
             let Some(free) = round.soon.get(&m.id) else { continue };
-            if let Some((cost, victims)) = self.victims(ctx, m, *free, &spec, gentle, inside) {
+            if let Some((cost, victims)) = self.victims(ctx, m, *free, &spec, inside) {
                 // An image that must be fetched costs time as well.
                 slots.push((cost + wish.fetch_ms(m), m.id.clone(), m.record.zone.clone(), victims));
             }
@@ -339,7 +320,6 @@
         m: &Machine,
         free: Amounts,
         spec: &JobSpec,
-        gentle: bool,
         inside: &BTreeSet<JobId>,
     ) -> Option<(i64, Vec<TaskKey>)> {
         let reclaims = inside.contains(&spec.id);
@@ -352,9 +332,6 @@
                 && j.spec.kind != Kind::Service
                 && j.spec.team != spec.team
                 && !inside.contains(&t.job);
-            if gentle && (!j.spec.saves() || ctx.cfg.start_by(&j.spec, ctx.wall).is_some()) {
-                continue;
-            }
             if j.live() && p.stop.is_none() && (j.spec.priority > spec.priority || beyond) {
                 let ran = p.running_since.map_or(0, |s| (ctx.now - s).0 / 1_000);
                 let lost = if j.spec.saves() { 2_000 } else { 1_000 + ran };
