--- a/crates/seamfront-core/src/capacity.rs
+++ b/crates/seamfront-core/src/capacity.rs
@@ -255,19 +255,13 @@
         let sum = work.entry((share, need.task.gpus > 0)).or_default();
         *sum += i64::from(need.count) * estimate * unit / 1_000;
         let todo = *sum + busy * estimate / 2_000;
-        let fitting = p
+        let prices = p
             .types
             .iter()
             .filter(|t| t.size.fits(need.task) > 0 && suits(need.task, need.types.as_deref(), t.size, p.types));
-        let cheapest = fitting.min_by_key(|t| t.price);
+        let cheap = prices.map(|t| t.price).min().is_some_and(|price| price * CHEAP_PART < spending);
         let target = need.left.map_or(DRAIN_IDLE, |l| l.clamp(DRAIN_MIN, DRAIN_MAX));
-        let target = match cheapest {
-            Some(t) if t.price * CHEAP_PART < spending => target.over(2),
-            // A new machine helps nobody who is served before it has booted and fetched.
-            Some(t) => target.max(t.boot + Micros::from_millis(need.image_mb * 1_000 / t.fetch_mb_s.max(1))),
-            None => target,
-        };
-        let target = target.0 / 1_000;
+        let target = target.over(if cheap { 2 } else { 1 }).0 / 1_000;
         let short = (todo * 1_000 / target - slots * unit).max(0) / unit;
         want = (short.min(i64::from(rest))) as u32;
         if need.together {
