--- a/crates/seamfront-core/src/fleet.rs
+++ b/crates/seamfront-core/src/fleet.rs
@@ -27,6 +27,9 @@
     pub unknown: bool,
 }
 
+const PACE_TASKS: i64 = 6;
+const PACE_SLOW: i64 = 160;
+
 #[derive(Clone, Debug)]
 pub struct Machine {
     pub id: MachineId,
@@ -58,6 +61,8 @@
     /// Different jobs that failed here since something last went well.
     pub faults: BTreeSet<JobId>,
     pub suspect: bool,
+    /// Tasks completed here lately, and the sum of their run times in percent of their jobs' means.
+    pub pace: (i64, i64),
     /// To be returned whatever is on it.
     pub hopeless: bool,
     /// Its record is being written.
@@ -93,6 +98,7 @@
             images: Vec::new(),
             faults: BTreeSet::new(),
             suspect: false,
+            pace: (0, 0),
             hopeless: false,
             writing: false,
             full_until: Micros::ZERO,
@@ -154,6 +160,19 @@
         self.images.iter().any(|(i, _)| i == image)
     }
 
+    /// Machines of a type differ by a tenth; one that is much slower than the others is not worth
+    /// its price. Judged on enough tasks, since single ones differ for reasons of their own.
+    pub fn completed(&mut self, ran: Micros, mean: Micros) {
+        let percent = 100 * ran.0 / mean.0.max(1);
+        self.pace = (self.pace.0 + 1, self.pace.1 + percent.min(400));
+        if self.pace.0 >= PACE_TASKS {
+            if self.pace.1 > PACE_SLOW * self.pace.0 {
+                self.suspect = true;
+            }
+            self.pace = (0, 0);
+        }
+    }
+
     /// The worker keeps the most recently used images as far as its cache goes.
     pub fn used_image(&mut self, image: &str, mb: i64, cache_mb: i64) {
         self.images.retain(|(i, _)| i != image);
@@ -163,3 +182,38 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn machine() -> Machine {
+        let record = MachineRecord { share: Some(0), kind: "m".into(), zone: "z".into(), spot: false };
+        Machine::new("i-1".into(), record, 7, Amounts::offered(4.0, 0.0, 16.0), Micros::ZERO)
+    }
+
+    #[test]
+    fn a_machine_much_slower_than_its_jobs_elsewhere_is_suspected() {
+        let (mut slow, mut fair) = (machine(), machine());
+        for k in 0..PACE_TASKS {
+            slow.completed(Micros::from_secs(20), Micros::from_secs(10));
+            // One long task among ordinary ones tells nothing about the machine.
+            fair.completed(Micros::from_secs(if k == 0 { 35 } else { 11 }), Micros::from_secs(10));
+        }
+        assert!(slow.suspect && !fair.suspect);
+    }
+
+    /// Until the worker has shown the present token, a former holder may have kept its lease alive.
+    #[test]
+    fn a_lease_is_over_only_when_no_former_holder_can_have_renewed_it() {
+        let (lease, acting) = (Micros::from_secs(10), Micros::from_secs(20));
+        let mut m = machine();
+        m.owned_since = Micros::from_secs(100);
+        assert!(m.lease_over_at(9, lease, acting) >= Micros::from_secs(130));
+        m.last_ok = Some(Micros::from_secs(101));
+        assert!(m.lease_over_at(9, lease, acting) >= Micros::from_secs(130));
+        m.seen_token = 9;
+        let over = m.lease_over_at(9, lease, acting);
+        assert!(over >= Micros::from_secs(111) && over < Micros::from_secs(112));
+    }
+}
--- a/crates/seamfront-core/src/job.rs
+++ b/crates/seamfront-core/src/job.rs
@@ -107,6 +107,8 @@
     pub avoid: BTreeMap<MachineId, Micros>,
     /// Errors in a row, without a completed or well started task between them.
     pub errors: u32,
+    /// Run times of its completed tasks: how many, and their sum.
+    pub ran: (i64, Micros),
     pub waiting_since: Micros,
 }
 
@@ -127,6 +129,7 @@
             paused_until: Micros::ZERO,
             avoid: BTreeMap::new(),
             errors: 0,
+            ran: (0, Micros::ZERO),
             waiting_since: now,
         }
     }
--- a/crates/seamfront-core/src/share.rs
+++ b/crates/seamfront-core/src/share.rs
@@ -319,8 +319,18 @@
         match why {
             Gone::Exited(Exit::Done) => {
                 job.errors = 0;
+                let ran = p.running_since.map(|t| ctx.now - t).filter(|_| job.spec.kind == Kind::Array);
                 if let Some(m) = self.machines.get_mut(&p.machine) {
                     m.faults.clear();
+                    if let Some(ran) = ran.filter(|_| job.ran.0 >= 3) {
+                        m.completed(ran, job.ran.1.over(job.ran.0));
+                        if m.suspect {
+                            warn!(machine = %p.machine, "much slower than its kind: machine suspected");
+                        }
+                    }
+                }
+                if let Some(ran) = ran {
+                    job.ran = (job.ran.0 + 1, job.ran.1 + ran);
                 }
                 if job.spec.kind != Kind::Service {
                     self.task_done(ctx, task);
