--- a/crates/seamfront-core/src/share.rs
+++ b/crates/seamfront-core/src/share.rs
@@ -323,8 +323,9 @@
                 if let Some(m) = self.machines.get_mut(&p.machine) {
                     m.faults.clear();
                     if let Some(ran) = ran.filter(|_| job.ran.0 >= 3) {
+                        let before = m.suspect;
                         m.completed(ran, job.ran.1.over(job.ran.0));
-                        if m.suspect {
+                        if m.suspect && !before {
                             warn!(machine = %p.machine, "much slower than its kind: machine suspected");
                         }
                     }
