--- a/crates/seamfront-core/src/fleet.rs
+++ b/crates/seamfront-core/src/fleet.rs
@@ -27,8 +27,8 @@
     pub unknown: bool,
 }
 
-const PACE_TASKS: i64 = 6;
-const PACE_SLOW: i64 = 160;
+const PACE_TASKS: i64 = 10;
+const PACE_SLOW: i64 = 190;
 
 #[derive(Clone, Debug)]
 pub struct Machine {
