--- a/crates/seamfront-core/src/capacity.rs
+++ b/crates/seamfront-core/src/capacity.rs
@@ -128,19 +128,7 @@
                 && zone.is_none_or(|want| want == z)
                 && need.types.as_ref().is_none_or(|t| t.iter().any(|x| x == kind))
         };
-        // What is on its way to this share.
-        for c in coming.iter_mut().filter(|c| c.0 == *share) {
-            let suits = suits(need.task, need.types.as_deref(), c.4, p.types);
-            if rest > 0 && suits && allowed(&c.1, &c.2, c.3) {
-                let n = c.4.fits(need.task).min(i64::from(rest));
-                c.4.sub(need.task.times(n));
-                rest -= n as u32;
-            }
-        }
-        if rest == 0 {
-            continue;
-        }
-        // What lies idle elsewhere.
+        // What lies idle elsewhere: it is there now, while what is on its way may take long.
         let mut zone_pick: Option<&str> = None;
         for m in &idle {
             if rest == 0 || wanted.contains(m.id) || m.share == *share {
@@ -161,10 +149,22 @@
         if rest == 0 {
             continue;
         }
+        // What is on its way to this share.
+        for c in coming.iter_mut().filter(|c| c.0 == *share) {
+            let suits = suits(need.task, need.types.as_deref(), c.4, p.types);
+            if rest > 0 && suits && allowed(&c.1, &c.2, c.3) {
+                let n = c.4.fits(need.task).min(i64::from(rest));
+                c.4.sub(need.task.times(n));
+                rest -= n as u32;
+            }
+        }
+        if rest == 0 {
+            continue;
+        }
         let rented = plan.rents.len();
         rent_for(p, &mut plan, spending, *share, need, rest, &mut work, &allowed);
-        // Live services do not wait for a machine to boot; other work is helped at lesser work's
-        // cost only if there is nothing to rent.
+        // Live services do not wait for a machine to boot, nor does urgent work that would be late by
+        // then; other work is helped at lesser work's cost only if there is nothing to rent.
         if need.service
             || (plan.rents.len() == rented && need.waited > if need.guaranteed { PATIENCE.over(4) } else { PATIENCE })
         {
