--- a/crates/seamfront-core/src/types.rs
+++ b/crates/seamfront-core/src/types.rs
@@ -295,7 +295,7 @@
         Tuning {
             claim_ttl: Micros::from_millis(4_000),
             move_every: Micros::from_secs(2),
-            idle_keep: Micros::from_secs(70),
+            idle_keep: Micros::from_secs(40),
             retry_limit: 3,
         }
     }
