--- a/crates/seamfront-core/src/rounds.rs
+++ b/crates/seamfront-core/src/rounds.rs
@@ -384,8 +384,19 @@
         let silent = up.iter().filter(|m| m.silent_for(ctx.now) > silent_limit).count();
         // When many are silent at once, it is rather our own network: their leases decide.
         let local = silent * 3 > up.len() && silent > 2;
+        // Where the settings leave the leases no room to end a cancelled task in time, a machine that
+        // does not report while it may hold one is deleted before the cancellation falls due.
+        let no_room = !ctx.cfg.acting_time_fits();
+        let jobs = &self.jobs;
+        let cancelled_on = |m: &Machine| {
+            m.tasks
+                .iter()
+                .filter_map(|t| jobs.get(&t.job)?.tasks.get(&t.index)?.stop)
+                .any(|s| s.cause == Cause::Cancelled && ctx.now - s.since > ctx.cfg.cancel.over(2))
+        };
         for m in self.machines.values_mut() {
             let quiet = m.silent_for(ctx.now);
+            let due = no_room && quiet > ctx.cfg.report.times(2) && cancelled_on(m);
             let kind = ctx.types.iter().find(|t| t.name == m.record.kind);
             let boot = kind.map_or(Micros::from_secs(60), |t| t.boot);
             let gone = match m.last_report {
@@ -394,7 +405,7 @@
             };
             let taken =
                 m.notice.is_some_and(|t| t + ctx.cfg.report.times(2) < ctx.now) && quiet > ctx.cfg.report.times(2);
-            m.hopeless = ctx.acting && (gone || taken || (m.suspect && m.empty()));
+            m.hopeless = ctx.acting && (gone || taken || due || (m.suspect && m.empty()));
         }
     }
 
