--- a/crates/seamfront-core/src/capacity.rs
+++ b/crates/seamfront-core/src/capacity.rs
@@ -44,7 +44,6 @@
 
 pub struct Picture<'a> {
     pub now: Micros,
-    pub shares: usize,
     pub needs: Vec<(usize, &'a Need)>,
     pub machines: Vec<Supply<'a>>,
     pub rents: Vec<&'a RentRecord>,
--- a/crates/seamfront-core/src/engine.rs
+++ b/crates/seamfront-core/src/engine.rs
@@ -299,11 +299,11 @@
         for k in 0..self.shares.len() {
             let (id, record) = (id.clone(), record.clone());
             let now = self.now;
-            self.with_share(k, |s, ctx| {
+            self.with_share(k, |s, _| {
                 if record.share == Some(k) {
                     s.add_machine(id, record, version, size, now);
                 } else {
-                    s.machine_moved(ctx, &id, record, version);
+                    s.machine_moved(&id, record, version);
                 }
             });
         }
--- a/crates/seamfront-core/src/leader.rs
+++ b/crates/seamfront-core/src/leader.rs
@@ -259,7 +259,6 @@
         }
         let picture = Picture {
             now,
-            shares: l.views.len(),
             needs,
             machines,
             rents: l.rents.values().map(|r| &r.record).collect(),
--- a/crates/seamfront-core/src/placement.rs
+++ b/crates/seamfront-core/src/placement.rs
@@ -1,6 +1,7 @@
 //! Which machine for which task. Looks at room, rules and cost; knows nothing of how jobs run.
 
 use crate::fleet::Machine;
+use crate::job::Job;
 use crate::types::*;
 use std::collections::BTreeMap;
 
@@ -17,7 +18,11 @@
     pub any_size: Option<Micros>,
 }
 
-impl Wish<'_> {
+impl<'a> Wish<'a> {
+    pub fn of(job: &'a Job, now: Micros, types: &'a [MachineType]) -> Wish<'a> {
+        Wish { spec: &job.spec, avoid: &job.avoid, now, types, any_size: None }
+    }
+
     pub fn allowed(&self, m: &Machine) -> bool {
         self.spec.allows(&m.record.kind, &m.record.zone, m.record.spot)
             && (self.spec.suits(m.size, self.types) || self.any_size.is_some_and(|keep| m.takes_plain(self.now, keep)))
--- a/crates/seamfront-core/src/rounds.rs
+++ b/crates/seamfront-core/src/rounds.rs
@@ -63,7 +63,7 @@
         let size = |j: &&Job| (i64::from(j.spec.tasks) * j.spec.need.cpus, j.spec.id.clone());
         let Some(largest) = services.filter(|j| j.spec.priority == Priority::Critical).max_by_key(size) else { return };
         let spec = &largest.spec;
-        let wish = Wish { spec, avoid: &largest.avoid, now: ctx.now, types: ctx.types, any_size: None };
+        let wish = Wish::of(largest, ctx.now, ctx.types);
         let machines: Vec<&Machine> = self.machines.values().filter(|m| round.room.contains_key(&m.id)).collect();
         let spare = wish.choose(&machines, &mut round.room.clone(), &BTreeMap::new(), spec.tasks, true);
         for m in spare {
@@ -115,7 +115,7 @@
         }
         let machines: Vec<&Machine> = self.machines.values().filter(|m| round.room.contains_key(&m.id)).collect();
         let taken = job.zones(|m| self.machines.get(m).map(|m| m.record.zone.as_str()));
-        let mut wish = Wish { spec: &spec, avoid: &job.avoid, now: ctx.now, types: ctx.types, any_size: None };
+        let mut wish = Wish::of(job, ctx.now, ctx.types);
         let mut taken = taken;
         let mut plan: Vec<(MachineId, i64)> = Vec::new();
         let mut rest = want;
@@ -174,7 +174,7 @@
     fn gather(&self, ctx: &Ctx, id: &JobId, want: u32, round: &mut Round) -> (u32, Option<String>) {
         let Some(job) = self.jobs.get(id) else { return (want, None) };
         let spec = &job.spec;
-        let wish = Wish { spec, avoid: &job.avoid, now: ctx.now, types: ctx.types, any_size: None };
+        let wish = Wish::of(job, ctx.now, ctx.types);
         let mut by_zone: BTreeMap<&str, Vec<(MachineId, u32)>> = BTreeMap::new();
         let mut all: BTreeMap<&str, i64> = BTreeMap::new();
         for m in self.machines.values().filter(|m| wish.allowed(m) && round.soon.contains_key(&m.id)) {
@@ -259,7 +259,7 @@
     fn make_room(&mut self, ctx: &mut Ctx, id: &JobId, n: u32, inside: &BTreeSet<JobId>, round: &mut Round) -> u32 {
         let Some(job) = self.jobs.get(id) else { return 0 };
         let spec = job.spec.clone();
-        let wish = Wish { spec: &spec, avoid: &job.avoid, now: ctx.now, types: ctx.types, any_size: None };
+        let wish = Wish::of(job, ctx.now, ctx.types);
         let taken = job.zones(|m| self.machines.get(m).map(|m| m.record.zone.as_str()));
         let mut slots: Vec<(i64, MachineId, String, Vec<TaskKey>)> = Vec::new();
         for m in self.machines.values().filter(|m| wish.allowed(m)) {
--- a/crates/seamfront-core/src/share.rs
+++ b/crates/seamfront-core/src/share.rs
@@ -233,8 +233,7 @@
             None => {
                 let mut m = Machine::new(id.clone(), record, version, size, now);
                 for (job, j) in &self.jobs {
-                    for (i, p) in j.tasks.iter().filter(|(_, p)| p.machine == id) {
-                        let _ = p;
+                    for (i, _) in j.tasks.iter().filter(|(_, p)| p.machine == id) {
                         m.used.add(j.spec.need);
                         m.tasks.insert(TaskKey { job: job.clone(), index: *i });
                     }
@@ -246,7 +245,7 @@
     }
 
     /// The machine's record says that it is another share's or is being returned.
-    pub fn machine_moved(&mut self, ctx: &mut Ctx, id: &MachineId, record: MachineRecord, version: u64) {
+    pub fn machine_moved(&mut self, id: &MachineId, record: MachineRecord, version: u64) {
         let Some(m) = self.machines.get_mut(id) else { return };
         if m.tasks.is_empty() && m.direct.is_none() {
             self.machines.remove(id);
@@ -255,7 +254,6 @@
             m.record = MachineRecord { share: None, ..record };
             m.version = version;
         }
-        let _ = ctx;
         self.dirty = true;
     }
 
@@ -334,7 +332,7 @@
                     job.ran = (job.ran.0 + 1, job.ran.1 + ran);
                 }
                 if job.spec.kind != Kind::Service {
-                    self.task_done(ctx, task);
+                    self.task_done(task);
                 }
                 return;
             }
@@ -366,7 +364,7 @@
         }
     }
 
-    fn task_done(&mut self, ctx: &mut Ctx, task: &TaskKey) {
+    fn task_done(&mut self, task: &TaskKey) {
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         if !job.live() {
             return;
@@ -383,7 +381,6 @@
             info!(job = %task.job, "all tasks done");
             job.ending = Some(Ending::Completing);
         }
-        let _ = ctx;
     }
 
     // ---- gangs ---------------------------------------------------------------------------
@@ -538,7 +535,7 @@
             }
         }
         for t in &report.tasks {
-            self.unplaced_shown(ctx, &id, t);
+            self.unplaced_shown(&id, t);
         }
         if first_notice {
             info!(machine = %id, "machine will be taken back");
@@ -593,7 +590,7 @@
     }
 
     /// Shown by the worker, but not (or not any more) placed there by us.
-    fn unplaced_shown(&mut self, ctx: &mut Ctx, machine: &MachineId, t: &TaskReport) {
+    fn unplaced_shown(&mut self, machine: &MachineId, t: &TaskReport) {
         let placement = self.jobs.get(&t.task.job).and_then(|j| j.tasks.get(&t.task.index));
         if placement.is_some_and(|p| p.machine == *machine && p.attempt == t.attempt) {
             return;
@@ -608,7 +605,7 @@
                     && !j.tasks.contains_key(&t.task.index)
             });
             if exit == Exit::Done && counts {
-                self.task_done(ctx, &t.task);
+                self.task_done(&t.task);
             }
             return;
         }
