A successor takes what stands on machines being returned for running, and sees all it was recorded

Excluded: leases, deletions (each record was removed only after the cloud's 200), late reports. Beside it: the view of machines could be older than the claim, with the same outcome; records were read again in a tight loop while the store refused. Tests: evidence.rs, two, each seen to fail with its guard taken out. The world keeps an index of who runs what.

--- a/crates/seamfront-core/src/link.rs
+++ b/crates/seamfront-core/src/link.rs
@@ -35,6 +35,7 @@
 }
 
 pub const TOPICS: [Topic; 4] = [Topic::Jobs, Topic::Machines, Topic::Shares, Topic::Leader];
+const MACHINES: usize = 1;
 
 impl Topic {
     fn prefix(self) -> &'static str {
@@ -69,9 +70,23 @@
     claiming: Vec<bool>,
     prove_busy: bool,
     prove_next: Micros,
+    /// Shares whose former holder's records are being read, by slot.
+    loads: BTreeMap<usize, Load>,
     pub last_ok: Micros,
 }
 
+/// What is read before a share can go on where its former holder stopped. All that that one recorded
+/// is older than our claim, machines before the tasks on them. So the view of machines must reach the
+/// claim: a placement on a machine that is not in it would be taken for lost and placed again, while it
+/// runs on a machine that was rented a moment ago.
+#[derive(Debug)]
+struct Load {
+    version: u64,
+    entries: Vec<Entry>,
+    busy: bool,
+    retry_at: Micros,
+}
+
 impl Link {
     pub fn new(shares: usize) -> Link {
         Link {
@@ -84,6 +99,7 @@
             claiming: vec![false; shares + 1],
             prove_busy: false,
             prove_next: Micros::ZERO,
+            loads: BTreeMap::new(),
             last_ok: Micros::ZERO,
         }
     }
@@ -118,6 +134,7 @@
         }
         self.claims_tick();
         self.prove_tick();
+        self.loads_tick();
     }
 
     // ---- lease ---------------------------------------------------------------------------
@@ -498,29 +515,78 @@
             let share = self.shares.get_mut(*slot).and_then(|s| s.as_mut());
             if let Some(s) = share.filter(|s| s.phase == SharePhase::Proving) {
                 s.phase = SharePhase::Loading;
-                let request = StateCall::List { prefix: work_prefix(*slot), after: None };
-                let pending = Pending::Records { share: *slot, version: *version, entries: Vec::new() };
-                self.state(request, pending);
+                let load = Load { version: *version, entries: Vec::new(), busy: false, retry_at: Micros::ZERO };
+                self.link.loads.insert(*slot, load);
             }
         }
     }
 
-    pub(crate) fn records_reply(&mut self, slot: usize, version: u64, mut entries: Vec<Entry>, reply: StateReply) {
-        if self.slot_version(slot) != Some(version) {
-            return;
+    // ---- the former holder's records -------------------------------------------------------
+
+    fn loads_tick(&mut self) {
+        let due: Vec<usize> =
+            self.link.loads.iter().filter(|(_, l)| !l.busy && l.retry_at <= self.now).map(|l| *l.0).collect();
+        for slot in due {
+            let Some(load) = self.link.loads.get_mut(&slot) else { continue };
+            let version = load.version;
+            let after = load.entries.last().map(|e| e.key.clone());
+            load.busy = true;
+            if self.slot_version(slot) != Some(version) {
+                self.link.loads.remove(&slot);
+                continue;
+            }
+            let fleet = &self.link.watches[MACHINES];
+            if fleet.loaded && fleet.seen >= version {
+                let request = StateCall::List { prefix: work_prefix(slot), after };
+                self.state(request, Pending::Records { share: slot, version });
+            } else {
+                let (prefix, after) = (Topic::Machines.prefix().to_owned(), fleet.seen);
+                let request = StateCall::Changes { prefix, after, hold: Micros::ZERO };
+                self.state(request, Pending::Fleet { share: slot, version });
+            }
         }
-        let prefix = work_prefix(slot);
-        let (after, retry) = match reply {
-            StateReply::Page { entries: page, more, .. } => {
-                entries.extend(page);
-                (entries.last().map(|e| e.key.clone()), more)
+    }
+
+    /// The load that an answer is for, if that still counts.
+    fn load(&mut self, slot: usize, version: u64) -> Option<&mut Load> {
+        self.link.loads.get_mut(&slot).filter(|l| l.version == version)
+    }
+
+    pub(crate) fn fleet_reply(&mut self, slot: usize, version: u64, reply: StateReply) {
+        let new = self.link.watches[MACHINES].loaded && self.apply_changes(MACHINES, reply);
+        let again = self.now + RETRY;
+        let Some(load) = self.load(slot, version) else { return };
+        load.busy = false;
+        if !new {
+            load.retry_at = again;
+        }
+    }
+
+    pub(crate) fn records_reply(&mut self, slot: usize, version: u64, reply: StateReply) {
+        let again = self.now + RETRY;
+        let Some(load) = self.load(slot, version) else { return };
+        load.busy = false;
+        match reply {
+            StateReply::Page { entries, more, .. } => {
+                load.entries.extend(entries);
+                if more {
+                    return;
+                }
             }
-            _ => (entries.last().map(|e| e.key.clone()), true),
-        };
-        if retry {
-            let pending = Pending::Records { share: slot, version, entries };
-            return self.state(StateCall::List { prefix, after }, pending);
+            _ => {
+                // Not at once: a store that refuses would be asked in a tight loop.
+                load.retry_at = again;
+                return;
+            }
+        }
+        let entries = self.link.loads.remove(&slot).map(|l| l.entries).unwrap_or_default();
+        if self.slot_version(slot) == Some(version) {
+            self.take_over(slot, entries);
         }
+    }
+
+    fn take_over(&mut self, slot: usize, entries: Vec<Entry>) {
+        let prefix = work_prefix(slot);
         let (cfg, now) = (self.cfg.clone(), self.now);
         let acting = self.acting(slot);
         let Some(share) = self.shares[slot].as_mut() else { return };
@@ -535,6 +601,14 @@
         for j in self.jobs.values().filter(|j| j.share == slot) {
             share.add_job(j.spec.clone(), j.version, now);
         }
+        // A machine that is being returned is there until its record is removed, and so is what the
+        // former holder placed on it. One that is another share's by now was let go empty.
+        for id in share.placed_elsewhere() {
+            if let Some((record, v)) = self.machines.get(&id).filter(|m| m.0.share.is_none()) {
+                let size = self.types.iter().find(|t| t.name == record.kind).map(|t| t.size).unwrap_or_default();
+                share.add_machine(id, record.clone(), *v, size, now);
+            }
+        }
         let mut ctx = Ctx { cfg: &cfg, now, wall: self.wall, types: &self.types, fx: &mut self.fx, acting };
         share.loaded(&mut ctx);
         debug!(share = slot, "records read");
--- a/crates/seamfront-core/src/share.rs
+++ b/crates/seamfront-core/src/share.rs
@@ -9,7 +9,7 @@
 use crate::quota::Quota;
 use crate::types::*;
 use std::cell::Cell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use tracing::{debug, info, warn};
 
@@ -166,6 +166,12 @@
         self.dirty = true;
     }
 
+    /// Machines that records name and this share does not have.
+    pub fn placed_elsewhere(&self) -> BTreeSet<MachineId> {
+        let named = self.jobs.values().flat_map(|j| j.tasks.values().map(|p| &p.machine));
+        named.filter(|id| !self.machines.contains_key(*id)).cloned().collect()
+    }
+
     /// After all records are read: what stands on machines that no longer exist is gone.
     pub fn loaded(&mut self, ctx: &mut Ctx) {
         self.phase = SharePhase::Ready;
--- a/crates/seamfront-core/tests/evidence.rs
+++ b/crates/seamfront-core/tests/evidence.rs
@@ -245,14 +245,36 @@
     store: Store,
     /// Whether the store can be reached.
     reached: bool,
+    /// Watches that wait for a change; those of machines lag behind the others.
+    watches: Vec<(CallId, StateCall)>,
+}
+
+fn put(key: &str, value: impl serde::Serialize) -> Write {
+    Write::Put { key: key.to_owned(), value: serde_json::to_value(value).unwrap(), lease: None }
+}
+
+fn machine_of(share: Option<usize>) -> MachineRecord {
+    MachineRecord { share, kind: "m".into(), zone: "z".into(), spot: false }
+}
+
+/// One task of attempt 3 on a machine.
+fn placed_on(machine: &str) -> WorkRecord {
+    let mut job = Job::new(job("j-0", 1), 5, s(90));
+    job.next_attempt = 4;
+    let mut record = job.to_record();
+    record.placed.insert(machine.into(), vec![(0, 1, 3)]);
+    record
 }
 
 impl Alone {
     fn new() -> Alone {
+        let mut alone = Alone::with(vec![]);
+        alone.run(0, 2_000);
+        alone
+    }
+
+    fn with(more: Vec<Write>) -> Alone {
         let mut store = Store::with_page(100);
-        let put = |key: String, value: serde_json::Value| Write::Put { key, value, lease: None };
-        let record = MachineRecord { share: Some(0), kind: "m".into(), zone: "z".into(), spot: false };
-        let machine = serde_json::to_value(record).unwrap();
         let kind = MachineType {
             name: "m".into(),
             size: Amounts::offered(8.0, 0.0, 32.0),
@@ -263,30 +285,61 @@
             boot: s(20),
             zones: vec!["z".into()],
         };
-        let apply = vec![
-            put(machine_key(&"i-0".into()), machine.clone()),
-            put(machine_key(&"i-1".into()), machine),
-            put("types".into(), serde_json::to_value(vec![kind]).unwrap()),
+        let mut apply = vec![
+            put(&machine_key(&"i-0".into()), machine_of(Some(0))),
+            put(&machine_key(&"i-1".into()), machine_of(Some(0))),
+            put("types", vec![kind]),
         ];
+        apply.extend(more);
         store.execute(Micros::ZERO, &StateCall::Commit { when: vec![], apply });
-        let mut alone = Alone { engine: Engine::new(settings()), store, reached: true };
-        for ms in (0..2_000).step_by(50) {
-            alone.step(Micros::from_millis(ms), vec![]);
+        Alone { engine: Engine::new(settings()), store, reached: true, watches: Vec::new() }
+    }
+
+    fn run(&mut self, from: i64, to: i64) {
+        for ms in (from..to).step_by(50) {
+            self.step(Micros::from_millis(ms), vec![]);
         }
-        alone
+    }
+
+    fn write(&mut self, apply: Vec<Write>) {
+        self.store.execute(Micros::ZERO, &StateCall::Commit { when: vec![], apply });
+    }
+
+    /// Reports of i-0 that show every token until `to`; returns whether anything was started on it.
+    fn starts_on_first(&mut self, from: i64, to: i64) -> bool {
+        let mut token = 0;
+        (from..to).any(|t| {
+            let r = Box::new(report("i-0", 1, t as u64, token, &[]));
+            let effects = self.step(s(t), vec![Command::Report { to: 7, report: r }]);
+            effects.iter().any(|e| match e {
+                Effect::Orders { token: shown, orders, .. } => {
+                    token = *shown;
+                    orders.iter().any(|o| matches!(o, Order::Start { .. }))
+                }
+                Effect::Direct { .. } => true,
+                _ => false,
+            })
+        })
     }
 
     /// One step and what follows from the store's answers; returns everything else.
     fn step(&mut self, now: Micros, mut commands: Vec<Command>) -> Vec<Effect> {
         let mut rest = Vec::new();
+        let store = &mut self.store;
+        self.watches.retain(|(call, request)| {
+            let lags = matches!(request, StateCall::Changes { prefix, .. } if prefix == "machine/");
+            let reply = if lags { None } else { store.execute(now, request) };
+            commands.extend(reply.clone().map(|reply| Command::State { call: *call, reply }));
+            reply.is_none()
+        });
         loop {
             let effects = self.engine.step(now, now, std::mem::take(&mut commands));
             for e in effects {
                 match e {
-                    Effect::State { call, request } if self.reached => {
-                        let reply = self.store.execute(now, &request);
-                        commands.extend(reply.map(|reply| Command::State { call, reply }));
-                    }
+                    Effect::State { call, request } if self.reached => match self.store.execute(now, &request) {
+                        Some(reply) => commands.push(Command::State { call, reply }),
+                        None => self.watches.push((call, request)),
+                    },
                     Effect::State { call, .. } => commands.push(Command::State { call, reply: StateReply::Unknown }),
                     e => rest.push(e),
                 }
@@ -342,3 +395,44 @@
         assert_eq!(a.hello(s(10), report("i-1", 1, 3, 0, &[])).is_none(), newer);
     }
 }
+
+/// Its former holder gave the machine up, and it has not been returned yet: it may be cut off and run
+/// on. Found on a day of the far larger fleet, where half of a zone was being returned as a controller
+/// crashed: its successor took what stood on those machines for lost and started it anew.
+#[test]
+fn a_successor_waits_for_a_machine_that_is_being_returned() {
+    let taken = vec![
+        put(&machine_key(&"i-9".into()), machine_of(None)),
+        put("job/j-0", &*job("j-0", 1)),
+        put("work/0/j-0", placed_on("i-9")),
+    ];
+    let mut a = Alone::with(taken);
+    a.run(0, 2_000);
+    assert!(!a.starts_on_first(2, 9), "i-9 is still there");
+    a.write(vec![Write::Delete { key: machine_key(&"i-9".into()) }]);
+    // The view of machines lags in this store; it is read anew by whoever takes the share.
+    a.engine = Engine::new(settings());
+    a.run(9_000, 15_000);
+    assert!(a.starts_on_first(15, 25), "gone for certain, it runs again");
+}
+
+/// The former holder placed a task on a machine that the successor's view of machines does not show
+/// yet: what is recorded before a claim must be seen before acting on it.
+#[test]
+fn a_successor_reads_of_machines_as_new_as_its_claim() {
+    #[derive(serde::Serialize)]
+    struct Claim {
+        member: String,
+        lease: u64,
+    }
+    let mut a = Alone::with(vec![put("share/0", Claim { member: "b".into(), lease: 77 })]);
+    a.run(0, 2_000);
+    a.write(vec![
+        put(&machine_key(&"i-9".into()), machine_of(Some(0))),
+        put("job/j-0", &*job("j-0", 1)),
+        put("work/0/j-0", placed_on("i-9")),
+    ]);
+    a.write(vec![Write::Delete { key: "share/0".into() }]);
+    a.run(2_000, 4_000);
+    assert!(!a.starts_on_first(4, 12), "it may run on i-9, which was rented a moment ago");
+}
--- a/crates/seamfront-core/tests/rules.rs
+++ b/crates/seamfront-core/tests/rules.rs
@@ -4,7 +4,7 @@
 mod world;
 
 use seamfront_core::types::*;
-use world::{ms, Fault, Scale, World, NODES};
+use world::{ms, Fault, World, NODES};
 
 /// One history: a quiet start, then troubles, then time to get everything done.
 fn history(seed: u64, faults: impl Fn(&mut World, i64)) -> World {
@@ -254,37 +254,6 @@
     }
 }
 
-/// Seven controllers and a thousand machines on a store of the usual limits: what they ask of it per
-/// step stays within these through a start, a full restart and a wave of machines that die, and
-/// everything is served. Counted, never timed.
-#[test]
-fn a_thousand_machines_stay_within_the_limits_of_the_store() {
-    let scale = Scale { nodes: 7, teams: 10, machines: 1_000, most: 1_050, page: 500 };
-    let mut w = World::sized(900, scale);
-    w.quiet_from = ms(40_000);
-    for n in 0..120 {
-        let mut spec = w.job(n);
-        spec.team = ["d", "e", "f", "g", "h", "i", "j"][n as usize % 7].into();
-        if spec.kind == Kind::Array {
-            spec.tasks = w.draw(60..400) as u32;
-        }
-        let at = w.draw(500..30_000);
-        w.submit(ms(at), spec);
-    }
-    w.fault(ms(15_000), Fault::Crash { nodes: (0..7).collect(), back: ms(3_000) });
-    w.fault(ms(30_000), Fault::Die { count: 40 });
-    w.run_until(ms(90_000));
-    assert!(w.truth.started > 5_000, "the run proves nothing: {} tasks started", w.truth.started);
-    assert_eq!(w.not_served(), Vec::<String>::new());
-    let seconds: Vec<(u32, u32)> = (0..90).map(|s| w.asked_of_store.get(&s).copied().unwrap_or_default()).collect();
-    for five in seconds.windows(5) {
-        let (requests, writes) = five.iter().fold((0, 0), |sum, s| (sum.0 + s.0, sum.1 + s.1));
-        // One second's worth may come as a burst on top.
-        assert!(requests <= 6 * 250, "{requests} requests in five seconds: {seconds:?}");
-        assert!(writes <= 6 * 100, "{writes} writes in five seconds: {seconds:?}");
-    }
-}
-
 /// A gang that needs nearly all of its team's limit, while small jobs of the same team keep coming and
 /// would use up whatever comes free.
 #[test]
--- /dev/null
+++ b/crates/seamfront-core/tests/size.rs
@@ -0,0 +1,56 @@
+//! A large fleet without the bench: what is asked of the store, how large messages get and how much is
+//! looked at, through a burst, a restart of all controllers and the loss of a tenth of the machines.
+//! Counted, never timed.
+
+mod world;
+
+use seamfront_core::types::*;
+use world::{ms, Fault, Scale, World};
+
+fn fleet(nodes: usize, machines: usize, state_rps: i64, write_rps: i64) -> Scale {
+    let most = machines + machines / 20;
+    Scale { nodes, teams: 10, machines, most, page: 500, state_rps, write_rps, times: (5, 26, 46) }
+}
+
+fn day(seed: u64, scale: Scale) -> World {
+    let mut w = World::sized(seed, scale);
+    w.quiet_from = ms(40_000);
+    for n in 0..200 {
+        let mut spec = w.job(n);
+        spec.team = ["d", "e", "f", "g", "h", "i", "j"][n as usize % 7].into();
+        match spec.kind {
+            Kind::Array => spec.tasks = w.draw(60..350) as u32,
+            Kind::Service => spec.tasks = w.draw(4..17) as u32,
+            Kind::Gang => spec.tasks = w.draw(1..9) as u32,
+        }
+        // The last third comes as a burst.
+        let at = if n % 3 == 0 { w.draw(20_000..22_000) } else { w.draw(500..30_000) };
+        w.submit(ms(at), spec);
+    }
+    w.fault(ms(15_000), Fault::Crash { nodes: (0..scale.nodes).collect(), back: ms(3_000) });
+    w.fault(ms(35_000), Fault::Die { count: scale.machines / 10 });
+    w.run_until(ms(120_000));
+    assert!(w.truth.started > 10_000, "the run proves nothing: {} tasks started", w.truth.started);
+    assert_eq!(w.not_served(), Vec::<String>::new());
+    let seconds: Vec<(u32, u32)> = (0..120).map(|s| w.asked_of_store.get(&s).copied().unwrap_or_default()).collect();
+    for five in seconds.windows(5) {
+        let (requests, writes) = five.iter().fold((0, 0), |sum, s| (sum.0 + s.0, sum.1 + s.1));
+        // One second's worth may come as a burst on top.
+        assert!(i64::from(requests) <= 6 * scale.state_rps, "{requests} requests in five seconds: {seconds:?}");
+        assert!(i64::from(writes) <= 6 * scale.write_rps, "{writes} writes in five seconds: {seconds:?}");
+    }
+    let (message, commit) = w.largest;
+    assert!(commit <= 60 * 1024, "a transaction of {commit} bytes");
+    println!("{} started, message {message}, commit {commit}", w.truth.started);
+    w
+}
+
+#[test]
+fn two_thousand_machines_and_seven_controllers() {
+    day(900, fleet(7, 2_000, 350, 100));
+}
+
+#[test]
+fn two_thousand_machines_and_three_controllers() {
+    day(901, fleet(3, 2_000, 1_000, 400));
+}
--- a/crates/seamfront-core/tests/world/mod.rs
+++ b/crates/seamfront-core/tests/world/mod.rs
@@ -182,6 +182,9 @@
     scale: Scale,
     /// What the store was asked in each second: requests, and keys written.
     pub asked_of_store: BTreeMap<i64, (u32, u32)>,
+    /// Bytes of the largest message between controllers and of the largest transaction. Counted in
+    /// large worlds only, since it takes writing each out.
+    pub largest: (usize, usize),
     rng: StdRng,
     queue: BinaryHeap<std::cmp::Reverse<(Micros, u64)>>,
     events: BTreeMap<u64, Event>,
@@ -221,9 +224,26 @@
     pub most: usize,
     /// Entries in one answer of the store: few where paging is to be exercised.
     pub page: usize,
+    /// Requests and writes a second that the store takes.
+    pub state_rps: i64,
+    pub write_rps: i64,
+    /// Workers' times in seconds: between reports, a lease, until a cancelled job's tasks are gone.
+    pub times: (i64, i64, i64),
 }
 
-pub const SMALL: Scale = Scale { nodes: NODES, teams: 4, machines: 4, most: 14, page: 7 };
+/// From so many machines on, messages and transactions are measured.
+const LARGE: usize = 500;
+
+pub const SMALL: Scale = Scale {
+    nodes: NODES,
+    teams: 4,
+    machines: 4,
+    most: 14,
+    page: 7,
+    state_rps: 250,
+    write_rps: 100,
+    times: (2, 12, 30),
+};
 
 fn settings(scale: Scale, me: usize) -> Settings {
     let team = |name: &str, limit: i64| Team {
@@ -241,13 +261,13 @@
             .take(scale.teams)
             .collect(),
         objectives: vec![],
-        report: ms(2_000),
-        lease: ms(12_000),
+        report: ms(1_000 * scale.times.0),
+        lease: ms(1_000 * scale.times.1),
         gang_wait: ms(15_000),
         gang_peer: ms(4_000),
-        cancel: ms(30_000),
-        state_rps: 250,
-        write_rps: 100,
+        cancel: ms(1_000 * scale.times.2),
+        state_rps: scale.state_rps,
+        write_rps: scale.write_rps,
         value_bytes: 32 * 1024,
         txn_ops: 48,
         cloud_rps: 5,
@@ -290,6 +310,7 @@
             broken: Vec::new(),
             started: 0,
             began: BTreeMap::new(),
+            holders: BTreeMap::new(),
         };
         let node = || Node {
             engine: None,
@@ -305,6 +326,7 @@
             seed,
             scale,
             asked_of_store: BTreeMap::new(),
+            largest: (0, 0),
             rng: StdRng::seed_from_u64(seed),
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
@@ -630,6 +652,9 @@
                 self.after(d, Event::Direct { node, life, machine, session, token, orders, late: false })
             }
             Effect::Mesh { to, message } => {
+                if self.scale.machines >= LARGE {
+                    self.largest.0 = self.largest.0.max(serde_json::to_vec(&message).unwrap().len());
+                }
                 // Half of what a cut stops is held back and comes when it ends.
                 let cut = self.nodes[node].cut_mesh.max(self.nodes[to].cut_mesh);
                 let held = cut > self.now && self.rng.random_range(0..2) == 0;
@@ -711,6 +736,13 @@
         second.0 += 1;
         if let StateCall::Commit { apply, .. } = &request {
             second.1 += apply.len() as u32;
+            if self.scale.machines >= LARGE {
+                let bytes = |w: &Write| match w {
+                    Write::Put { key, value, .. } => key.len() + value.to_string().len() + 40,
+                    Write::Delete { key } => key.len() + 20,
+                };
+                self.largest.1 = self.largest.1.max(apply.iter().map(bytes).sum());
+            }
         }
         self.store.expire(self.now);
         if !late && self.lost() {
@@ -871,7 +903,7 @@
             let d = w.hung_until - self.now + ms(10);
             return self.report_in(&id, d);
         }
-        let period = ms(self.rng.random_range(1_500..2_500));
+        let period = ms(self.rng.random_range(750 * self.scale.times.0..1_250 * self.scale.times.0));
         self.truth.workers.get_mut(&id).unwrap().next_report = Micros::MAX;
         self.report_in(&id, period);
         let w = &self.truth.workers[&id];
--- a/crates/seamfront-core/tests/world/workers.rs
+++ b/crates/seamfront-core/tests/world/workers.rs
@@ -58,6 +58,13 @@
     pub started: u64,
     /// When the first task of a job began.
     pub began: BTreeMap<JobId, Micros>,
+    /// Machines that may have tasks of a job, so that a large world needs no search for them.
+    pub holders: BTreeMap<JobId, BTreeSet<MachineId>>,
+}
+
+fn all_of(job: &JobId) -> std::ops::RangeInclusive<TaskKey> {
+    let at = |index| TaskKey { job: job.clone(), index };
+    at(0)..=at(u32::MAX)
 }
 
 impl Truth {
@@ -108,6 +115,7 @@
                     let (fetch, _) = run(spec);
                     let t = Task { attempt: *attempt, state, until: now + fetch, waiting_since: now, stopped: None };
                     w.tasks.insert(task.clone(), t);
+                    self.holders.entry(task.job.clone()).or_default().insert(id.clone());
                 }
                 Order::Stop { task, attempt, grace } => {
                     let Some(t) = w.tasks.get_mut(task).filter(|t| t.attempt == *attempt) else { continue };
@@ -128,6 +136,9 @@
                     let ended = |t: &Task| t.attempt == *attempt && matches!(t.state, TaskState::Exited(_));
                     if w.tasks.get(task).is_some_and(ended) {
                         w.tasks.remove(task);
+                        if w.tasks.range(all_of(&task.job)).next().is_none() {
+                            self.holders.get_mut(&task.job).map(|h| h.remove(id));
+                        }
                     }
                 }
             }
@@ -135,9 +146,9 @@
     }
 
     fn everywhere<'a>(&'a self, job: &'a JobId) -> impl Iterator<Item = (&'a MachineId, &'a Worker, u32, &'a Task)> {
-        self.workers.iter().filter(|(_, w)| !w.dead).flat_map(move |(id, w)| {
-            w.tasks.iter().filter(move |(k, _)| k.job == *job).map(move |(k, t)| (id, w, k.index, t))
-        })
+        let holders = self.holders.get(job).into_iter().flatten();
+        let up = holders.filter_map(|id| self.workers.get_key_value(id)).filter(|(_, w)| !w.dead);
+        up.flat_map(move |(id, w)| w.tasks.range(all_of(job)).map(move |(k, t)| (id, w, k.index, t)))
     }
 
     /// The rules that hold at the moment a task comes to be on a machine.
@@ -170,12 +181,9 @@
         }
         let team = self.teams.iter().find(|t| t.name == spec.team).unwrap();
         let mut used = Amounts::default();
-        for w in self.workers.values().filter(|w| !w.dead) {
-            for (k, _) in w.tasks.iter().filter(|(_, t)| t.on_machine()) {
-                if self.jobs[&k.job].team == team.name {
-                    used.add(self.jobs[&k.job].need);
-                }
-            }
+        let limited = team.limit.cpus > 0 || team.limit.gpus > 0;
+        for job in self.holders.keys().filter(|j| limited && self.jobs[*j].team == team.name) {
+            used.add(self.jobs[job].need.times(self.everywhere(job).filter(|x| x.3.on_machine()).count() as i64));
         }
         if (team.limit.cpus > 0 && used.cpus > team.limit.cpus) || (team.limit.gpus > 0 && used.gpus > team.limit.gpus)
         {
@@ -240,7 +248,8 @@
     }
 
     fn gangs(&mut self, now: Micros, work: &impl Fn(&JobSpec) -> Micros) {
-        let gangs: Vec<JobSpec> = self.jobs.values().filter(|j| j.kind == Kind::Gang).cloned().collect();
+        let held = self.holders.iter().filter(|h| !h.1.is_empty()).map(|h| &self.jobs[h.0]);
+        let gangs: Vec<JobSpec> = held.filter(|j| j.kind == Kind::Gang).cloned().collect();
         for spec in gangs {
             let members: Vec<(MachineId, u32, u64, TaskState, Micros, bool)> = self
                 .everywhere(&spec.id)
