Rounds look up only machines with room; names compare by their head; what had its turn stays (to be measured)

Now a round lists what may be used once, by kind and zone; arrays and gangs that can't be told from one that found nothing are not looked for again; names compare by their first sixteen bytes.

--- a/crates/seamfront-core/src/fleet.rs
+++ b/crates/seamfront-core/src/fleet.rs
@@ -75,6 +75,8 @@
     pub images: Vec<(String, i64)>,
     /// Images that tasks placed here wait for. Fetches at the same time share the machine's rate.
     pub fetching: BTreeMap<String, i64>,
+    /// What is placed here, or which images are here, has changed since `fetching` was made.
+    pub fetches_changed: bool,
     /// Different jobs that failed here since something last went well.
     pub faults: BTreeSet<JobId>,
     pub suspect: bool,
@@ -119,6 +121,7 @@
             unused_since: None,
             images: Vec::new(),
             fetching: BTreeMap::new(),
+            fetches_changed: true,
             faults: BTreeSet::new(),
             suspect: false,
             pace: (0, 0),
--- a/crates/seamfront-core/src/job.rs
+++ b/crates/seamfront-core/src/job.rs
@@ -53,6 +53,8 @@
     pub not_before: Micros,
     pub running_since: Option<Micros>,
     pub stop: Option<Stop>,
+    /// Its job had its turn, see [`turn`].
+    pub by_turn: bool,
 }
 
 /// Where a job's record stands. Only the holder writes it, always on the version that it knows.
@@ -153,6 +155,13 @@
         self.tasks.is_empty() && self.done.count() == 0 && waited > BEGIN_WITHIN.times(2).over(3)
     }
 
+    /// How important a task of it is to those that might stop it. What began by its turn stands as high
+    /// as that put it: if what comes after it in a round could stop it, the next round would begin it
+    /// anew, and so on for ever.
+    pub fn standing(&self, p: &Placement) -> Priority {
+        turn(self.spec.priority, p.by_turn).0
+    }
+
     /// Tasks neither done nor placed.
     pub fn unplaced(&self) -> u32 {
         if !self.live() {
@@ -187,14 +196,14 @@
     }
 
     /// Zones that its tasks take up, with how many.
-    pub fn zones<'a>(&self, zone_of: impl Fn(&MachineId) -> Option<&'a str>) -> BTreeMap<&'a str, u32> {
-        let mut zones = BTreeMap::new();
+    pub fn zones<'a>(&self, zone_of: impl Fn(&MachineId) -> Option<&'a str>) -> BTreeMap<String, u32> {
+        let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
         for p in self.tasks.values() {
             if let Some(z) = zone_of(&p.machine) {
                 *zones.entry(z).or_insert(0) += 1;
             }
         }
-        zones
+        zones.into_iter().map(|(z, n)| (z.to_owned(), n)).collect()
     }
 
     pub fn to_record(&self) -> WorkRecord {
@@ -241,6 +250,7 @@
                             not_before: Micros::ZERO,
                             running_since: None,
                             stop: None,
+                            by_turn: false,
                         },
                     );
                 }
--- a/crates/seamfront-core/src/placement.rs
+++ b/crates/seamfront-core/src/placement.rs
@@ -3,10 +3,94 @@
 use crate::fleet::Machine;
 use crate::job::Job;
 use crate::types::*;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 
-/// Room as seen in one scheduling round: lowered by what the round places or holds back.
-pub type Room = BTreeMap<MachineId, Amounts>;
+pub type Machines = BTreeMap<MachineId, Machine>;
+
+/// Machines of one kind, in one zone, at one price: what a job may use is decided for all at once.
+struct Group {
+    kind: String,
+    zone: String,
+    spot: bool,
+    size: Amounts,
+}
+
+/// A machine that may be used, with its room as seen in one round: lowered by what the round places or
+/// holds back.
+pub struct Spot {
+    pub id: MachineId,
+    group: usize,
+    /// Free now.
+    pub free: Amounts,
+    /// Free once everything that is being stopped has gone.
+    pub soon: Amounts,
+}
+
+/// Which room of a machine is meant.
+#[derive(Clone, Copy, PartialEq)]
+pub enum When {
+    Now,
+    Soon,
+}
+
+/// What a round has to give away, in the order of the machines' names. A place in it is named by its
+/// number. Machines are looked up only where they have room for what is asked: most are full.
+#[derive(Default)]
+pub struct Room {
+    groups: Vec<Group>,
+    pub spots: Vec<Spot>,
+    /// How much was looked at: machines, and the list's entries by the dozen.
+    pub looked: Cell<i64>,
+}
+
+/// Entries of the list that cost as much as one machine looked up.
+const ENTRIES: i64 = 16;
+
+impl Room {
+    pub fn of<'m>(machines: impl Iterator<Item = &'m Machine>) -> Room {
+        let mut room = Room::default();
+        for m in machines {
+            let r = &m.record;
+            let same = |g: &Group| g.kind == r.kind && g.zone == r.zone && g.spot == r.spot && g.size == m.size;
+            let group = room.groups.iter().position(same).unwrap_or_else(|| {
+                let (kind, zone) = (r.kind.clone(), r.zone.clone());
+                room.groups.push(Group { kind, zone, spot: r.spot, size: m.size });
+                room.groups.len() - 1
+            });
+            room.spots.push(Spot { id: m.id.clone(), group, free: m.free(), soon: m.free() });
+        }
+        room
+    }
+
+    pub fn find(&self, id: &MachineId) -> Option<usize> {
+        self.spots.binary_search_by(|s| s.id.cmp(id)).ok()
+    }
+
+    pub fn zone(&self, k: usize) -> &str {
+        &self.groups[self.spots[k].group].zone
+    }
+
+    pub fn size(&self, k: usize) -> Amounts {
+        self.groups[self.spots[k].group].size
+    }
+
+    pub fn left(&self, k: usize, when: When) -> Amounts {
+        match when {
+            When::Now => self.spots[k].free,
+            When::Soon => self.spots[k].soon,
+        }
+    }
+
+    pub fn hold(&mut self, k: usize, need: Amounts) {
+        self.spots[k].free.sub(need);
+        self.spots[k].soon.sub(need);
+    }
+
+    fn look(&self, entries: usize, machines: usize) {
+        self.looked.set(self.looked.get() + 1 + entries as i64 / ENTRIES + machines as i64);
+    }
+}
 
 /// What it is worth to find the better of spot and ordinary machines: about the fetch of an image.
 const WRONG_KIND_MS: i64 = 15_000;
@@ -28,13 +112,51 @@
         Wish { spec: &job.spec, avoid: &job.avoid, now, types, any_size: None, cached: false }
     }
 
-    pub fn allowed(&self, m: &Machine) -> bool {
-        self.spec.allows(&m.record.kind, &m.record.zone, m.record.spot)
-            && (self.spec.suits(m.size, self.types) || self.any_size.is_some_and(|keep| m.takes_plain(self.now, keep)))
+    /// For each group: whether this may run there, and if only where plain work is let in.
+    fn groups(&self, room: &Room) -> Vec<Option<bool>> {
+        let ask = |g: &Group| {
+            let allowed = self.spec.allows(&g.kind, &g.zone, g.spot);
+            let suits = self.spec.suits(g.size, self.types);
+            (allowed && (suits || self.any_size.is_some())).then_some(suits)
+        };
+        room.groups.iter().map(ask).collect()
+    }
+
+    fn allowed(&self, m: &Machine, suits: bool) -> bool {
+        (suits || self.any_size.is_some_and(|keep| m.takes_plain(self.now, keep)))
             && (!self.cached || m.has_image(&self.spec.image))
             && self.avoid.get(&m.id).is_none_or(|until| *until <= self.now)
     }
 
+    /// Places where this may run and that `keep` says are worth looking at.
+    pub fn places<'m>(
+        &self,
+        machines: &'m Machines,
+        room: &Room,
+        keep: impl Fn(usize, &Spot) -> bool,
+    ) -> Vec<(usize, &'m Machine)> {
+        let groups = self.groups(room);
+        let worth = room.spots.iter().enumerate().filter(|(k, s)| groups[s.group].is_some() && keep(*k, s));
+        let found = worth.filter_map(|(k, s)| Some((k, machines.get(&s.id)?, groups[s.group]?)));
+        let mut looked = 0;
+        let found = found.inspect(|_| looked += 1).filter(|(_, m, suits)| self.allowed(m, *suits));
+        let found = found.map(|(k, m, _)| (k, m)).collect();
+        room.look(room.spots.len(), looked);
+        found
+    }
+
+    /// How many tasks the machines of each zone could take if they were empty.
+    pub fn by_zone<'r>(&self, room: &'r Room) -> BTreeMap<&'r str, i64> {
+        let groups = self.groups(room);
+        let mut all = BTreeMap::new();
+        for s in room.spots.iter().filter(|s| groups[s.group].is_some()) {
+            let g = &room.groups[s.group];
+            *all.entry(g.zone.as_str()).or_insert(0) += g.size.fits(self.spec.need);
+        }
+        room.look(room.spots.len(), 0);
+        all
+    }
+
     /// The shortest fetch of the image on any machine that may run this.
     pub fn fetch_at_best(&self) -> Micros {
         let fits = |t: &&MachineType| t.size.fits(self.spec.need) > 0 && self.spec.suits(t.size, self.types);
@@ -65,42 +187,44 @@
         self.kind_ms(m) + self.fetch_ms(m) + left
     }
 
-    /// Machines that have room for at least one task, best first, with how many fit.
-    pub fn candidates<'m>(&self, machines: impl Iterator<Item = &'m Machine>, room: &Room) -> Vec<(&'m Machine, u32)> {
-        let mut found: Vec<(i64, &Machine, u32)> = machines
-            .filter_map(|m| {
-                let free = *room.get(&m.id)?;
-                let fits = free.fits(self.spec.need);
-                (fits > 0 && self.allowed(m)).then(|| (self.cost(m, free), m, fits.min(1 << 20) as u32))
-            })
+    /// Places that have room for at least one task, best first, with how many fit.
+    fn candidates(&self, machines: &Machines, room: &Room, when: When) -> Vec<(usize, u32)> {
+        let fits = |k: usize| room.left(k, when).fits(self.spec.need);
+        let mut found: Vec<(i64, usize, u32)> = self
+            .places(machines, room, |k, _| fits(k) > 0)
+            .into_iter()
+            .map(|(k, m)| (self.cost(m, room.left(k, when)), k, fits(k).min(1 << 20) as u32))
             .collect();
-        found.sort_by(|a, b| (a.0, &a.1.id).cmp(&(b.0, &b.1.id)));
-        found.into_iter().map(|(_, m, n)| (m, n)).collect()
+        found.sort_unstable();
+        found.into_iter().map(|(_, k, n)| (k, n)).collect()
     }
 
-    /// Machines for `n` tasks at once, or as many as there are where `partial`. `taken` counts the
-    /// job's tasks by zone, those that are only leaving included.
-    pub fn choose<'m>(
+    /// Places for `n` tasks at once, one entry for each task, or for as many as there are where
+    /// `partial`. `taken` counts the job's tasks by zone, those that are only leaving included.
+    pub fn choose(
         &self,
-        machines: &[&'m Machine],
-        room: &mut Room,
-        taken: &BTreeMap<&str, u32>,
+        machines: &Machines,
+        room: &Room,
+        when: When,
+        taken: &BTreeMap<String, u32>,
         n: u32,
         partial: bool,
-    ) -> Vec<&'m Machine> {
-        let zones: Vec<&str> = if self.spec.one_zone {
-            match taken.keys().next() {
-                Some(z) => vec![*z],
-                None => self.zones_by_cost(machines, room),
-            }
-        } else {
-            Vec::new()
-        };
+    ) -> Vec<usize> {
+        let found = self.candidates(machines, room, when);
         if !self.spec.one_zone {
-            return self.fill(machines, room, taken, n, partial, None);
+            return self.fill(room, &found, taken, n, partial);
+        }
+        let mut zones: Vec<&str> = taken.keys().map(String::as_str).take(1).collect();
+        if zones.is_empty() {
+            for (k, _) in &found {
+                if !zones.contains(&room.zone(*k)) {
+                    zones.push(room.zone(*k));
+                }
+            }
         }
         for z in zones {
-            let got = self.fill(machines, room, taken, n, partial, Some(z));
+            let here: Vec<(usize, u32)> = found.iter().filter(|(k, _)| room.zone(*k) == z).copied().collect();
+            let got = self.fill(room, &here, taken, n, partial);
             if !got.is_empty() {
                 return got;
             }
@@ -108,56 +232,46 @@
         Vec::new()
     }
 
-    fn zones_by_cost<'m>(&self, machines: &[&'m Machine], room: &Room) -> Vec<&'m str> {
-        let mut zones = Vec::new();
-        for (m, _) in self.candidates(machines.iter().copied(), room) {
-            let z = m.record.zone.as_str();
-            if !zones.contains(&z) {
-                zones.push(z);
-            }
-        }
-        zones
-    }
-
-    fn fill<'m>(
+    /// Down the list; a job that is spread goes to the zone where it has least each time.
+    fn fill(
         &self,
-        machines: &[&'m Machine],
-        room: &mut Room,
-        taken: &BTreeMap<&str, u32>,
+        room: &Room,
+        found: &[(usize, u32)],
+        taken: &BTreeMap<String, u32>,
         n: u32,
         partial: bool,
-        zone: Option<&str>,
-    ) -> Vec<&'m Machine> {
-        let in_zone = |m: &&&Machine| zone.is_none_or(|z| z == m.record.zone);
-        let found = self.candidates(machines.iter().filter(in_zone).copied(), room);
-        let mut got: Vec<&Machine> = Vec::new();
-        let mut zones: BTreeMap<&str, u32> = taken.clone();
-        let mut fits: Vec<u32> = found.iter().map(|f| f.1).collect();
+    ) -> Vec<usize> {
         let cap = self.spec.zone_cap();
+        // By zone: how many tasks it has, and what is left of the list there, as (position, fits).
+        let mut zones: Vec<(&str, u32, Vec<(usize, u32)>)> = Vec::new();
+        for (at, (k, fits)) in found.iter().enumerate().rev() {
+            let zone = room.zone(*k);
+            let z = zones.iter().position(|z| z.0 == zone).unwrap_or_else(|| {
+                zones.push((zone, taken.get(zone).copied().unwrap_or(0), Vec::new()));
+                zones.len() - 1
+            });
+            zones[z].2.push((at, *fits));
+        }
+        let mut got = Vec::new();
         while (got.len() as u32) < n {
-            // A job that is spread goes to the zone where it has least; others simply down the list.
-            let open =
-                |k: &usize| fits[*k] > 0 && zones.get(found[*k].0.record.zone.as_str()).copied().unwrap_or(0) < cap;
-            let mut order = (0..found.len()).filter(open);
-            let pick = if self.spec.spread {
-                order.min_by_key(|k| zones.get(found[*k].0.record.zone.as_str()).copied().unwrap_or(0))
-            } else {
-                order.next()
-            };
-            let Some(k) = pick else { break };
-            let m = found[k].0;
-            fits[k] -= 1;
-            *zones.entry(m.record.zone.as_str()).or_insert(0) += 1;
-            got.push(m);
+            let open = zones.iter_mut().filter(|z| z.1 < cap).filter_map(|z| {
+                let at = z.2.last()?.0;
+                let least = if self.spec.spread { z.1 } else { 0 };
+                Some(((least, at), z))
+            });
+            let Some(((_, at), zone)) = open.min_by_key(|o| o.0) else { break };
+            zone.1 += 1;
+            if let Some(last) = zone.2.last_mut() {
+                last.1 -= 1;
+                if last.1 == 0 {
+                    zone.2.pop();
+                }
+            }
+            got.push(found[at].0);
         }
         if (got.len() as u32) < n && !partial {
             return Vec::new();
         }
-        for m in &got {
-            if let Some(r) = room.get_mut(&m.id) {
-                r.sub(self.spec.need);
-            }
-        }
         got
     }
 }
--- a/crates/seamfront-core/src/rounds.rs
+++ b/crates/seamfront-core/src/rounds.rs
@@ -4,7 +4,7 @@
 use crate::fleet::Machine;
 use crate::gang::Member;
 use crate::job::*;
-use crate::placement::{Room, Wish};
+use crate::placement::{Machines, Room, When, Wish};
 use crate::port::{MachineView, Need};
 use crate::quota;
 use crate::share::{Ctx, Share, SharePhase};
@@ -22,12 +22,12 @@
 const ROUND_IDLE: Micros = Micros::from_millis(500);
 
 struct Round {
-    /// Free now.
     room: Room,
-    /// Free once everything that is being stopped has gone.
-    soon: Room,
     /// Held for gangs that wait for more.
     gathered: BTreeSet<MachineId>,
+    /// By place in `room`: the least important work there that might be stopped. Made when first asked
+    /// for; work that the round stops itself may still be in it.
+    lesser: Option<Vec<Lesser>>,
     /// What found no room in this round, and no lesser work to stop: what asks for no less under the
     /// same terms will not either, and is not looked for.
     in_vain: Vec<(Rc<JobSpec>, Terms)>,
@@ -36,6 +36,14 @@
     quota_held: BTreeMap<String, Amounts>,
 }
 
+/// Of what runs on a machine: the least important priority, and by priority whether anything there is
+/// beyond its team's guarantee.
+#[derive(Clone, Copy, Default)]
+struct Lesser {
+    least: Option<Priority>,
+    beyond: [bool; 4],
+}
+
 /// On what terms a job looks for room, besides what it asks for: within its team's guarantee, still in
 /// time, allowed to stop other work.
 type Terms = (bool, bool, bool);
@@ -44,6 +52,8 @@
 /// is being stopped, and that is held for whom it was stopped for.
 fn no_easier(a: &JobSpec, b: &JobSpec) -> bool {
     let more = a.need.cpus >= b.need.cpus && a.need.gpus >= b.need.gpus && a.need.ram >= b.need.ram;
+    // All of a gang at once: a smaller one might still find room.
+    let more = more && (a.kind != Kind::Gang || a.tasks >= b.tasks);
     let terms = |s: &JobSpec| (s.kind, s.priority, s.spot, s.one_zone, s.spread, s.saves());
     more && terms(a) == terms(b)
         && a.types == b.types
@@ -57,45 +67,36 @@
         let whole = gang.need.times(i64::from(gang.tasks));
         self.quota_held.entry(gang.team.clone()).or_insert(whole);
     }
-
-    fn hold(&mut self, id: &MachineId, need: Amounts) {
-        for map in [&mut self.room, &mut self.soon] {
-            if let Some(r) = map.get_mut(id) {
-                r.sub(need);
-            }
-        }
-    }
 }
 
 /// Finds places for up to `want` tasks (all or none where not `partial`): free ones go to the plan, and
 /// what is being freed already is held, so that nothing lesser slips in. Returns how many in all.
-fn seat<'m>(
+fn seat(
     wish: &Wish,
-    machines: &[&'m Machine],
-    round: &mut Round,
-    taken: &mut BTreeMap<&'m str, u32>,
+    machines: &Machines,
+    room: &mut Room,
+    taken: &mut BTreeMap<String, u32>,
     want: u32,
     partial: bool,
     plan: &mut Vec<(MachineId, i64)>,
 ) -> u32 {
-    let got = wish.choose(machines, &mut round.room, taken, want, partial);
-    for m in &got {
-        *taken.entry(m.record.zone.as_str()).or_insert(0) += 1;
-        plan.push((m.id.clone(), wish.fetch_ms(m)));
-        if let Some(r) = round.soon.get_mut(&m.id) {
-            r.sub(wish.spec.need);
+    let mut seated = 0;
+    for when in [When::Now, When::Soon] {
+        let got = wish.choose(machines, room, when, taken, want - seated, partial);
+        seated += got.len() as u32;
+        for k in got {
+            *taken.entry(room.zone(k).to_owned()).or_insert(0) += 1;
+            room.hold(k, wish.spec.need);
+            let id = &room.spots[k].id;
+            if let Some(m) = machines.get(id).filter(|_| when == When::Now) {
+                plan.push((id.clone(), wish.fetch_ms(m)));
+            }
+        }
+        if seated == want {
+            break;
         }
     }
-    let rest = want - got.len() as u32;
-    if rest == 0 {
-        return want;
-    }
-    let held = wish.choose(machines, &mut round.soon.clone(), taken, rest, partial);
-    for m in &held {
-        *taken.entry(m.record.zone.as_str()).or_insert(0) += 1;
-        round.hold(&m.id, wish.spec.need);
-    }
-    (got.len() + held.len()) as u32
+    seated
 }
 
 impl Share {
@@ -107,7 +108,6 @@
             return;
         }
         self.last_round = ctx.now;
-        self.visited.set(0);
         self.dirty = false;
         self.needs.clear();
         let inside = quota::guaranteed(&ctx.cfg.teams, self.jobs.values());
@@ -122,9 +122,17 @@
             }
             self.place_job(ctx, &id, &inside, &mut round);
         }
-        for m in self.machines.values_mut() {
-            m.gathered = round.gathered.contains(&m.id);
+        for id in std::mem::replace(&mut self.gathered, round.gathered) {
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.gathered = false;
+            }
         }
+        for id in &self.gathered {
+            if let Some(m) = self.machines.get_mut(id) {
+                m.gathered = true;
+            }
+        }
+        self.visited.set(round.room.looked.get());
     }
 
     /// Live services must start at once when they come. Of what is free, room for one more like the
@@ -135,10 +143,9 @@
         let Some(largest) = services.filter(|j| j.spec.priority == Priority::Critical).max_by_key(size) else { return };
         let spec = &largest.spec;
         let wish = Wish::of(largest, ctx.now, ctx.types);
-        let machines: Vec<&Machine> = self.machines.values().filter(|m| round.room.contains_key(&m.id)).collect();
-        let spare = wish.choose(&machines, &mut round.room.clone(), &BTreeMap::new(), spec.tasks, true);
-        for m in spare {
-            round.hold(&m.id, spec.need);
+        let spare = wish.choose(&self.machines, &round.room, When::Now, &BTreeMap::new(), spec.tasks, true);
+        for k in spare {
+            round.room.hold(k, spec.need);
         }
     }
 
@@ -162,13 +169,13 @@
     }
 
     fn note_fetches(&mut self) {
-        for m in self.machines.values_mut() {
+        for m in self.machines.values_mut().filter(|m| m.fetches_changed) {
+            m.fetches_changed = false;
             m.fetching.clear();
-        }
-        for j in self.jobs.values() {
-            for p in j.tasks.values().filter(|p| p.phase <= Phase::Fetching) {
-                let Some(m) = self.machines.get_mut(&p.machine) else { continue };
-                if !m.has_image(&j.spec.image) && !m.fetching.contains_key(&j.spec.image) {
+            for t in &m.tasks {
+                let Some(j) = self.jobs.get(&t.job) else { continue };
+                let waits = j.tasks.get(&t.index).is_some_and(|p| p.phase <= Phase::Fetching);
+                if waits && !m.images.iter().any(|(i, _)| *i == j.spec.image) {
                     m.fetching.insert(j.spec.image.clone(), j.spec.image_mb);
                 }
             }
@@ -177,16 +184,31 @@
 
     fn survey(&self, ctx: &Ctx) -> Round {
         let usable = |m: &&Machine| m.usable(ctx.now, ctx.cfg.report, self.version);
-        let room: Room = self.machines.values().filter(usable).map(|m| (m.id.clone(), m.free())).collect();
-        let mut soon = room.clone();
+        let mut room = Room::of(self.machines.values().filter(usable));
         for j in self.jobs.values() {
             for p in j.tasks.values().filter(|p| p.stop.is_some()) {
-                if let Some(r) = soon.get_mut(&p.machine) {
-                    r.add(j.spec.need);
+                if let Some(k) = room.find(&p.machine) {
+                    room.spots[k].soon.add(j.spec.need);
+                }
+            }
+        }
+        Round { room, gathered: BTreeSet::new(), lesser: None, in_vain: Vec::new(), quota_held: BTreeMap::new() }
+    }
+
+    /// See [`Lesser`].
+    fn lesser_on(&self, inside: &BTreeSet<JobId>, room: &Room) -> Vec<Lesser> {
+        let mut on = vec![Lesser::default(); room.spots.len()];
+        for j in self.jobs.values().filter(|j| j.live()) {
+            let beyond = j.spec.kind != Kind::Service && !inside.contains(&j.spec.id);
+            for t in j.tasks.values().filter(|t| t.stop.is_none()) {
+                let p = j.standing(t);
+                if let Some(k) = room.find(&t.machine) {
+                    on[k].least = on[k].least.max(Some(p));
+                    on[k].beyond[p as usize] |= beyond;
                 }
             }
         }
-        Round { room, soon, gathered: BTreeSet::new(), in_vain: Vec::new(), quota_held: BTreeMap::new() }
+        on
     }
 
     fn place_job(&mut self, ctx: &mut Ctx, id: &JobId, inside: &BTreeSet<JobId>, round: &mut Round) {
@@ -210,18 +232,28 @@
         let within = inside.contains(id);
         let in_time = ctx.cfg.start_by(&spec, ctx.wall).is_some();
         let terms = (within, in_time, self.may_preempt(ctx, &spec, within));
-        let alike = spec.kind == Kind::Array && !spec.one_zone && !spec.spread && job.avoid.is_empty();
-        if alike && round.in_vain.iter().any(|(b, t)| *t == terms && b.team == spec.team && no_easier(&spec, b)) {
+        let alike = match spec.kind {
+            Kind::Array => !spec.one_zone && !spec.spread,
+            Kind::Gang => true,
+            Kind::Service => false,
+        };
+        let alike = alike && job.avoid.is_empty();
+        let vain =
+            alike && round.in_vain.iter().any(|(b, t)| *t == terms && b.team == spec.team && no_easier(&spec, b));
+        if vain && !gang {
             let need = self.need(ctx, id, want, within);
             return self.needs.extend(need);
         }
-        let mut rest = want - self.seat_where_cached(ctx, id, want, inside, round);
+        let mut rest = want;
+        if !vain {
+            rest -= self.seat_where_cached(ctx, id, want, inside, round);
+        }
         if rest == 0 {
             return;
         }
-        let Some(job) = self.jobs.get(id) else { return };
-        let machines: Vec<&Machine> = self.machines.values().filter(|m| round.room.contains_key(&m.id)).collect();
-        self.visited.set(self.visited.get() + 3 * machines.len() as i64);
+        let Some(job) = self.jobs.get(id).filter(|_| !vain) else {
+            return self.wait_for_room(ctx, id, (rest, want), (within, overdue), round);
+        };
         let mut taken = job.zones(|m| self.machines.get(m).map(|m| m.record.zone.as_str()));
         let mut wish = Wish::of(job, ctx.now, ctx.types);
         let mut plan: Vec<(MachineId, i64)> = Vec::new();
@@ -232,7 +264,7 @@
             // Work that can still be in time is worth keeping such a machine for; other work is not.
             let keep = if in_time { Micros::MAX } else { ctx.cfg.tuning.idle_keep };
             wish.any_size = any_size.then_some(keep);
-            rest -= seat(&wish, &machines, round, &mut taken, rest, !gang, &mut plan);
+            rest -= seat(&wish, &self.machines, &mut round.room, &mut taken, rest, !gang, &mut plan);
             if rest == 0 {
                 break;
             }
@@ -247,18 +279,32 @@
             round.in_vain.push((spec.clone(), terms));
         }
         if rest > 0 {
-            let mut zone = None;
-            if gang {
-                (rest, zone) = self.gather(ctx, id, want, round);
-                if overdue {
-                    round.hold_quota(&spec);
-                }
-            }
-            if let Some(mut need) = self.need(ctx, id, rest, within) {
-                need.gathering = zone;
-                self.needs.push(need);
+            self.wait_for_room(ctx, id, (rest, want), (within, overdue), round);
+        }
+    }
+
+    /// For `rest` of `want` tasks there is no room: what a gang can do with is held for it, and the rest
+    /// is told to the leader.
+    fn wait_for_room(
+        &mut self,
+        ctx: &Ctx,
+        id: &JobId,
+        (rest, want): (u32, u32),
+        (within, overdue): (bool, bool),
+        round: &mut Round,
+    ) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let (mut rest, mut zone) = (rest, None);
+        if job.gang.is_some() {
+            (rest, zone) = self.gather(ctx, id, want, round);
+            if overdue {
+                round.hold_quota(&job.spec);
             }
         }
+        if let Some(mut need) = self.need(ctx, id, rest, within) {
+            need.gathering = zone;
+            self.needs.push(need);
+        }
     }
 
     /// A live service whose image takes longer to fetch than it takes to stop lesser work goes where the
@@ -280,10 +326,9 @@
             return 0;
         }
         wish.cached = true;
-        let machines: Vec<&Machine> = self.machines.values().filter(|m| round.room.contains_key(&m.id)).collect();
         let mut taken = job.zones(|m| self.machines.get(m).map(|m| m.record.zone.as_str()));
         let mut plan = Vec::new();
-        let seated = seat(&wish, &machines, round, &mut taken, want, true, &mut plan);
+        let seated = seat(&wish, &self.machines, &mut round.room, &mut taken, want, true, &mut plan);
         if !plan.is_empty() {
             self.place(ctx, id, &plan);
         }
@@ -300,28 +345,27 @@
         let Some(job) = self.jobs.get(id) else { return (want, None) };
         let spec = &job.spec;
         let wish = Wish::of(job, ctx.now, ctx.types);
-        let mut by_zone: BTreeMap<&str, Vec<(MachineId, u32)>> = BTreeMap::new();
-        let mut all: BTreeMap<&str, i64> = BTreeMap::new();
-        for m in self.machines.values().filter(|m| wish.allowed(m) && round.soon.contains_key(&m.id)) {
-            let zone = if spec.one_zone { m.record.zone.as_str() } else { "" };
-            *all.entry(zone).or_default() += m.size.fits(spec.need);
-            let fits = round.soon[&m.id].fits(spec.need).clamp(0, i64::from(want)) as u32;
-            if fits > 0 {
-                by_zone.entry(zone).or_default().push((m.id.clone(), fits));
-            }
+        let of = |zone: &'_ str| if spec.one_zone { zone.to_owned() } else { String::new() };
+        let fits = |k: usize| round.room.left(k, When::Soon).fits(spec.need).clamp(0, i64::from(want)) as u32;
+        let mut by_zone: BTreeMap<String, Vec<(usize, u32)>> = BTreeMap::new();
+        for (k, _) in wish.places(&self.machines, &round.room, |k, _| fits(k) > 0) {
+            by_zone.entry(of(round.room.zone(k))).or_default().push((k, fits(k)));
+        }
+        let mut all: BTreeMap<String, i64> = BTreeMap::new();
+        for (zone, n) in wish.by_zone(&round.room) {
+            *all.entry(of(zone)).or_default() += n;
         }
         // Where most is free, and of those where most could become free.
-        let free = |z: &&str| by_zone.get(*z).map_or(0, |v| v.iter().map(|x| x.1).sum::<u32>()).min(want);
-        let Some(zone) = all.keys().copied().max_by_key(|z| (free(z), all[z])) else { return (want, None) };
+        let free = |z: &String| by_zone.get(z).map_or(0, |v| v.iter().map(|x| x.1).sum::<u32>()).min(want);
+        let Some(zone) = all.keys().max_by_key(|z| (free(z), all[*z])).cloned() else { return (want, None) };
         let mut missing = want;
-        for (m, fits) in by_zone.remove(zone).unwrap_or_default() {
-            for _ in 0..fits.min(missing) {
-                round.hold(&m, spec.need);
-                missing -= 1;
-            }
-            round.gathered.insert(m);
+        for (k, fits) in by_zone.remove(&zone).unwrap_or_default() {
+            let n = fits.min(missing);
+            missing -= n;
+            round.room.hold(k, spec.need.times(i64::from(n)));
+            round.gathered.insert(round.room.spots[k].id.clone());
         }
-        (missing, (spec.one_zone && missing < want).then(|| zone.to_owned()))
+        (missing, (spec.one_zone && missing < want).then_some(zone))
     }
 
     fn place(&mut self, ctx: &mut Ctx, id: &JobId, plan: &[(MachineId, i64)]) {
@@ -336,6 +380,7 @@
             }
             None => job.take_attempt(),
         };
+        let by_turn = job.overdue(ctx.wall);
         let slowest = plan.iter().map(|p| p.1).max().unwrap_or(0);
         let patience = ctx.cfg.gang_wait.over(3).0 / 1_000;
         for (i, (machine, fetch_ms)) in job.next_tasks(plan.len() as u32).into_iter().zip(plan) {
@@ -355,14 +400,13 @@
                     not_before: ctx.now + Micros::from_millis(early),
                     running_since: None,
                     stop: None,
+                    by_turn,
                 },
             );
             self.quota.take(&spec.team, spec.need);
             if let Some(m) = self.machines.get_mut(machine) {
                 m.used.add(spec.need);
-                if !m.has_image(&spec.image) {
-                    m.fetching.insert(spec.image.clone(), spec.image_mb);
-                }
+                m.fetches_changed = true;
                 m.tasks.insert(key);
                 m.idle_since = None;
             }
@@ -401,30 +445,39 @@
         let mut wish = Wish::of(job, ctx.now, ctx.types);
         wish.cached = at_once;
         let taken = job.zones(|m| self.machines.get(m).map(|m| m.record.zone.as_str()));
-        let mut slots: Vec<(i64, MachineId, String, Vec<TaskKey>)> = Vec::new();
-        self.visited.set(self.visited.get() + 4 * self.machines.len() as i64);
-        for m in self.machines.values().filter(|m| wish.allowed(m)) {
-            let Some(free) = round.soon.get(&m.id) else { continue };
-            if let Some((cost, victims)) = self.victims(ctx, m, *free, &spec, inside, at_once) {
+        if round.lesser.is_none() {
+            round.lesser = Some(self.lesser_on(inside, &round.room));
+        }
+        let reclaims = inside.contains(&spec.id);
+        let lesser = round.lesser.as_deref().unwrap_or_default();
+        let stops = |k: usize| {
+            let on = &lesser[k];
+            on.least.is_some_and(|l| l > spec.priority) || (reclaims && on.beyond[spec.priority as usize])
+        };
+        let room = &round.room;
+        let mut slots: Vec<(i64, usize, Vec<TaskKey>)> = Vec::new();
+        for (k, m) in wish.places(&self.machines, room, |k, _| stops(k) && room.size(k).fits(spec.need) > 0) {
+            let free = room.left(k, When::Soon);
+            if let Some((cost, victims)) = self.victims(ctx, m, free, &spec, inside, at_once) {
                 // An image that must be fetched costs time as well.
-                slots.push((cost + wish.fetch_ms(m) + wish.kind_ms(m), m.id.clone(), m.record.zone.clone(), victims));
+                slots.push((cost + wish.fetch_ms(m) + wish.kind_ms(m), k, victims));
             }
         }
         slots.sort();
-        let zones: BTreeSet<&str> = slots.iter().map(|s| s.2.as_str()).collect();
+        let zones: BTreeSet<&str> = slots.iter().map(|s| room.zone(s.1)).collect();
         let mut best: Option<(i64, Vec<usize>)> = None;
         let choices: Vec<Option<&str>> = if !spec.one_zone {
             vec![None]
         } else if let Some(z) = taken.keys().next() {
-            vec![Some(*z)]
+            vec![Some(z.as_str())]
         } else {
             zones.into_iter().map(Some).collect()
         };
         for zone in choices {
-            let mut counts: BTreeMap<&str, u32> = taken.clone();
+            let mut counts: BTreeMap<&str, u32> = taken.iter().map(|(z, n)| (z.as_str(), *n)).collect();
             let mut pick = Vec::new();
-            for (k, s) in slots.iter().enumerate().filter(|(_, s)| zone.is_none_or(|z| z == s.2)) {
-                let in_zone = counts.entry(s.2.as_str()).or_insert(0);
+            for (k, s) in slots.iter().enumerate().filter(|(_, s)| zone.is_none_or(|z| z == room.zone(s.1))) {
+                let in_zone = counts.entry(room.zone(s.1)).or_insert(0);
                 if *in_zone < spec.zone_cap() && (pick.len() as u32) < n {
                     *in_zone += 1;
                     pick.push(k);
@@ -438,7 +491,7 @@
         }
         let Some((_, pick)) = best else { return 0 };
         let chosen: Vec<_> = pick.iter().map(|k| slots[*k].clone()).collect();
-        for (_, machine, _, victims) in &chosen {
+        for (_, k, victims) in &chosen {
             for v in victims {
                 let freed = self.jobs.get(&v.job).map_or(Amounts::default(), |j| j.spec.need);
                 if at_once {
@@ -446,11 +499,9 @@
                 } else {
                     self.evict(ctx, v, Cause::Preempted);
                 }
-                if let Some(s) = round.soon.get_mut(machine) {
-                    s.add(freed);
-                }
+                round.room.spots[*k].soon.add(freed);
             }
-            round.hold(machine, spec.need);
+            round.room.hold(*k, spec.need);
         }
         info!(job = %id, tasks = chosen.len(), "making room");
         chosen.len() as u32
@@ -474,17 +525,17 @@
             let Some(j) = self.jobs.get(&t.job) else { continue };
             let Some(p) = j.tasks.get(&t.index) else { continue };
             let beyond = reclaims
-                && j.spec.priority == spec.priority
+                && j.standing(p) == spec.priority
                 && j.spec.kind != Kind::Service
                 && j.spec.team != spec.team
                 && !inside.contains(&t.job);
             if at_once && (j.gang.is_some() || !j.spec.saves()) {
                 continue;
             }
-            if j.live() && p.stop.is_none() && (j.spec.priority > spec.priority || beyond) {
+            if j.live() && p.stop.is_none() && (j.standing(p) > spec.priority || beyond) {
                 let ran = p.running_since.map_or(0, |s| (ctx.now - s).0 / 1_000);
                 let lost = if j.spec.saves() { 2_000 } else { 1_000 + ran };
-                lesser.push((j.spec.priority, lost, t, j.spec.need));
+                lesser.push((j.standing(p), lost, t, j.spec.need));
             }
         }
         lesser.sort_by(|a, b| (b.0, a.1, a.2).cmp(&(a.0, b.1, b.2)));
@@ -624,7 +675,7 @@
             if j.spec.kind == Kind::Service {
                 pinned.add(j.spec.need);
             }
-            least = Some(least.map_or(j.spec.priority, |l: Priority| l.min(j.spec.priority)));
+            least = Some(least.map_or(j.standing(p), |l: Priority| l.min(j.standing(p))));
             loss += if j.spec.saves() { j.spec.save } else { p.running_since.map_or(Micros::ZERO, |s| ctx.now - s) };
         }
         (least, loss, pinned)
@@ -644,7 +695,10 @@
             }
             let Some(above) = above.filter(|_| m.clearing.is_none()) else { continue };
             let tasks: Vec<TaskKey> = m.tasks.iter().cloned().collect();
-            let lesser = |t: &TaskKey| self.jobs.get(&t.job).is_some_and(|j| j.spec.priority > above);
+            let lesser = |t: &TaskKey| {
+                let job = self.jobs.get(&t.job);
+                job.is_some_and(|j| j.tasks.get(&t.index).is_some_and(|p| j.standing(p) > above))
+            };
             if !tasks.iter().all(lesser) {
                 continue;
             }
--- a/crates/seamfront-core/src/share.rs
+++ b/crates/seamfront-core/src/share.rs
@@ -84,6 +84,8 @@
     pub last_round: Micros,
     /// Machines that the last round looked at, once for each time.
     pub visited: Cell<i64>,
+    /// Machines that the last round held for gangs.
+    pub(crate) gathered: BTreeSet<MachineId>,
     look_next: Micros,
 }
 
@@ -121,6 +123,7 @@
             dirty: true,
             last_round: Micros::ZERO,
             visited: Cell::new(0),
+            gathered: BTreeSet::new(),
             look_next: Micros::ZERO,
         }
     }
@@ -159,6 +162,7 @@
             }
             if let Some(m) = self.machines.get_mut(&p.machine) {
                 m.used.add(job.spec.need);
+                m.fetches_changed = true;
                 m.tasks.insert(TaskKey { job: id.clone(), index: *i });
             }
         }
@@ -303,6 +307,7 @@
             if m.tasks.remove(task) {
                 m.used.sub(job.spec.need);
             }
+            m.fetches_changed = true;
         }
         debug!(task = %task, machine = %p.machine, epoch = p.attempt, ?why, stop = ?p.stop.map(|s| s.cause), "task gone");
         job.record.touch();
@@ -591,6 +596,7 @@
         if let Some(m) = m {
             p.session = m.session;
             if phase > Phase::Fetching && p.phase <= Phase::Fetching {
+                m.fetches_changed = true;
                 let cache = ctx.types.iter().find(|t| t.name == m.record.kind).map_or(0, |t| t.cache_mb);
                 m.used_image(&spec.image, spec.image_mb, cache);
             }
--- a/crates/seamfront-core/src/types.rs
+++ b/crates/seamfront-core/src/types.rs
@@ -1,6 +1,7 @@
 //! Plain values shared by every module: time, identifiers, amounts and what a user asks for.
 
 use serde::{Deserialize, Serialize};
+use std::cmp::Ordering;
 use std::fmt;
 use std::ops::{Add, AddAssign, Sub};
 use std::sync::Arc;
@@ -62,25 +63,73 @@
     }
 }
 
+/// A name's first sixteen bytes, such that they compare like the text itself.
+fn head_of(text: &str) -> u128 {
+    let mut head = [0; 16];
+    let n = text.len().min(16);
+    head[..n].copy_from_slice(&text.as_bytes()[..n]);
+    u128::from_be_bytes(head)
+}
+
+/// Names are looked up far more often than anything else is done, and are short: what decides nearly
+/// every comparison lies beside the pointer to the text.
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
-        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-        #[serde(transparent)]
-        pub struct $name(Arc<str>);
+        #[derive(Clone, Serialize, Deserialize)]
+        #[serde(from = "Arc<str>", into = "Arc<str>")]
+        pub struct $name {
+            head: u128,
+            text: Arc<str>,
+        }
         impl $name {
             pub fn as_str(&self) -> &str {
-                &self.0
+                &self.text
+            }
+        }
+        impl From<Arc<str>> for $name {
+            fn from(text: Arc<str>) -> Self {
+                $name { head: head_of(&text), text }
+            }
+        }
+        impl From<$name> for Arc<str> {
+            fn from(name: $name) -> Self {
+                name.text
             }
         }
         impl From<&str> for $name {
             fn from(s: &str) -> Self {
-                $name(s.into())
+                $name::from(Arc::<str>::from(s))
+            }
+        }
+        impl PartialEq for $name {
+            fn eq(&self, o: &Self) -> bool {
+                self.cmp(o).is_eq()
+            }
+        }
+        impl Eq for $name {}
+        impl PartialOrd for $name {
+            fn partial_cmp(&self, o: &Self) -> Option<Ordering> {
+                Some(self.cmp(o))
+            }
+        }
+        impl Ord for $name {
+            fn cmp(&self, o: &Self) -> Ordering {
+                self.head.cmp(&o.head).then_with(|| match (self.text.len(), o.text.len()) {
+                    // Shorter than the head: a zero byte there can't be told from the end of the text.
+                    (a, b) if a <= 16 && b <= 16 => a.cmp(&b),
+                    _ => self.text.cmp(&o.text),
+                })
+            }
+        }
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:?}", self.as_str())
             }
         }
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(&self.0)
+                f.write_str(&self.text)
             }
         }
     };
@@ -96,7 +145,7 @@
 );
 
 /// One task of a job.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TaskKey {
     pub job: JobId,
     pub index: u32,
--- a/crates/seamfront-core/tests/placement.rs
+++ b/crates/seamfront-core/tests/placement.rs
@@ -3,7 +3,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use seamfront_core::fleet::{Machine, MachineRecord};
-use seamfront_core::placement::{Room, Wish};
+use seamfront_core::placement::{Machines, Room, When, Wish};
 use seamfront_core::quota::{within_limit, Quota};
 use seamfront_core::types::*;
 use std::collections::BTreeMap;
@@ -38,7 +38,7 @@
     let mut placed = 0;
     for _ in 0..3_000 {
         let job = spec(&mut rng);
-        let machines: Vec<Machine> = (0..rng.random_range(1..7))
+        let machines: Machines = (0..rng.random_range(1..7))
             .map(|k| {
                 let pick = |rng: &mut StdRng, of: [&str; 2]| of[rng.random_range(0..2)].to_owned();
                 let record = MachineRecord {
@@ -48,31 +48,39 @@
                     spot: rng.random_range(0..2) == 0,
                 };
                 let size = Amounts::offered(rng.random_range(1..9) as f64, 0.0, 16.0);
-                Machine::new(format!("m-{k}").as_str().into(), record, 1, size, Micros::ZERO)
+                let id = MachineId::from(format!("m-{k}").as_str());
+                (id.clone(), Machine::new(id, record, 1, size, Micros::ZERO))
             })
             .collect();
-        let before: Room = machines.iter().map(|m| (m.id.clone(), m.free())).collect();
-        let mut room = before.clone();
-        let refs: Vec<&Machine> = machines.iter().collect();
+        let room = Room::of(machines.values());
         let avoid = BTreeMap::from([("m-0".into(), Micros::from_secs(9))]);
         let wish = Wish { spec: &job, avoid: &avoid, now: Micros::ZERO, types: &[], any_size: None, cached: false };
         let partial = rng.random_range(0..2) == 0;
-        let got = wish.choose(&refs, &mut room, &BTreeMap::new(), job.tasks, partial);
+        let got = wish.choose(&machines, &room, When::Now, &BTreeMap::new(), job.tasks, partial);
         assert!(got.len() as u32 <= job.tasks);
         assert!(partial || got.is_empty() || got.len() as u32 == job.tasks, "all or none");
         let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
-        for m in &got {
+        for k in &got {
+            let m = &machines[&room.spots[*k].id];
             assert!(job.allows(&m.record.kind, &m.record.zone, m.record.spot) && m.id.as_str() != "m-0");
             *zones.entry(&m.record.zone).or_default() += 1;
         }
         assert!(!job.one_zone || zones.len() <= 1);
         assert!(zones.values().all(|n| *n <= job.zone_cap()));
-        for (id, left) in &room {
-            let taken = got.iter().filter(|m| m.id == *id).count() as i64;
-            let mut want = before[id];
-            want.sub(job.need.times(taken));
-            assert_eq!(*left, want);
-            assert!(taken == 0 || (left.cpus >= 0 && left.ram >= 0), "overfilled");
+        for (k, spot) in room.spots.iter().enumerate() {
+            let taken = got.iter().filter(|g| **g == k).count() as i64;
+            assert!(taken <= spot.free.fits(job.need), "overfilled");
+        }
+        if !partial && !job.spread && got.is_empty() {
+            // All or none, and none: then there is indeed no room for all where all must be.
+            let fits = |z: Option<&str>| {
+                let may =
+                    |m: &&Machine| job.allows(&m.record.kind, &m.record.zone, m.record.spot) && m.id.as_str() != "m-0";
+                let here = machines.values().filter(may).filter(|m| z.is_none_or(|z| z == m.record.zone));
+                here.map(|m| m.free().fits(job.need)).sum::<i64>()
+            };
+            let most = if job.one_zone { fits(Some("x")).max(fits(Some("y"))) } else { fits(None) };
+            assert!(most < i64::from(job.tasks), "{most} found nothing for {}", job.tasks);
         }
         placed += got.len();
     }
--- a/crates/seamfront-core/tests/rules.rs
+++ b/crates/seamfront-core/tests/rules.rs
@@ -1,6 +1,7 @@
 //! Seeded runs of several engines in a hostile world; after each step every rule is checked on the
 //! workers' truth. Needs nothing but this repository.
 
+#[allow(dead_code)]
 mod world;
 
 use seamfront_core::types::*;
--- a/crates/seamfront-core/tests/size.rs
+++ b/crates/seamfront-core/tests/size.rs
@@ -2,6 +2,7 @@
 //! looked at, through a burst, a restart of all controllers and the loss of a tenth of the machines.
 //! Counted, never timed.
 
+#[allow(dead_code)]
 mod world;
 
 use seamfront_core::types::*;
