--- a/crates/seamfront-core/src/capacity.rs
+++ b/crates/seamfront-core/src/capacity.rs
@@ -82,8 +82,52 @@
 const CHEAP_FACTOR: i64 = 4;
 const RENT_MAX: u32 = 20;
 
+/// Machines that a plan can't tell from each other: of one share, kind, zone and price, with as much taken
+/// by services. A far larger fleet has hardly more of these than a small one.
+struct Stock<'a> {
+    share: usize,
+    record: &'a MachineRecord,
+    size: Amounts,
+    /// Taken by services.
+    pinned: Amounts,
+    count: i64,
+    /// Processors that work uses which ends by itself, in all of them.
+    busy: i64,
+}
+
+fn stocks<'a>(p: &Picture<'a>) -> Vec<Stock<'a>> {
+    let mut found: BTreeMap<_, Stock> = BTreeMap::new();
+    for m in p.machines.iter().filter(|m| !m.bad()) {
+        let pinned = m.view.map_or(Amounts::default(), |v| v.pinned);
+        let r = m.record;
+        let key = (m.share, r.kind.as_str(), r.zone.as_str(), r.spot, pinned.cpus, pinned.gpus, pinned.ram);
+        let stock =
+            found.entry(key).or_insert(Stock { share: m.share, record: r, size: m.size, pinned, count: 0, busy: 0 });
+        stock.count += 1;
+        stock.busy += m.view.map_or(0, |v| v.used.cpus - v.pinned.cpus);
+    }
+    found.into_values().collect()
+}
+
+/// What is decided once for a whole plan.
+struct Overview<'a> {
+    stocks: Vec<Stock<'a>>,
+    by_zone: BTreeMap<&'a str, i64>,
+    /// Waiting work so far, by share and whether it needs accelerators, in thousandths of a processor
+    /// times microseconds.
+    work: BTreeMap<(usize, bool), i64>,
+}
+
 pub fn plan(p: &Picture) -> Plan {
     let mut plan = Plan::default();
+    let mut overview = Overview { stocks: stocks(p), by_zone: BTreeMap::new(), work: BTreeMap::new() };
+    for m in &p.machines {
+        *overview.by_zone.entry(m.record.zone.as_str()).or_default() += 1;
+    }
+    // What may be cleared for more important work, the least loss first.
+    let clearable = |m: &&Supply| m.up() && m.view.is_some_and(|v| v.least.is_some()) && !p.clearing.contains_key(m.id);
+    let mut lesser: Vec<&Supply> = p.machines.iter().filter(clearable).collect();
+    lesser.sort_by_key(|m| (m.view.map(|v| v.loss), m.id));
     let mut needs = p.needs.clone();
     needs.sort_by_key(|(_, n)| {
         (turn(n.priority, n.overdue), !n.guaranteed, n.left.unwrap_or(Micros::MAX), Micros::ZERO - n.waited)
@@ -116,8 +160,6 @@
     idle.sort_by_key(|m| (!m.view.is_some_and(|v| v.released), m.id));
     let mut wanted: BTreeSet<&MachineId> = BTreeSet::new();
     let mut cleared: BTreeSet<&MachineId> = BTreeSet::new();
-    // Waiting work so far, by share, in thousandths of a processor times microseconds.
-    let mut work: BTreeMap<(usize, bool), i64> = BTreeMap::new();
 
     for (share, need) in &needs {
         let mut rest = need.count;
@@ -175,25 +217,25 @@
             continue;
         }
         let rented = plan.rents.len();
-        rent_for(p, &mut plan, *share, need, rest, &mut work, &allowed);
+        rent_for(p, &mut overview, &mut plan, *share, need, rest, &allowed);
         // Live services do not wait for a machine to boot, nor does urgent work that would be late by
         // then; other work is helped at lesser work's cost only if there is nothing to rent.
         if need.service
             || (plan.rents.len() == rented && need.waited > if need.guaranteed { PATIENCE.over(4) } else { PATIENCE })
         {
-            let mut lesser: Vec<&Supply> = p
-                .machines
-                .iter()
-                .filter(|m| m.share != *share && m.up() && !p.clearing.contains_key(m.id) && !cleared.contains(m.id))
-                .filter(|m| m.view.is_some_and(|v| v.least.is_some_and(|l| l > need.priority)))
-                .filter(|m| allowed(&m.record.kind, &m.record.zone, m.record.spot) && m.size.fits(need.task) > 0)
-                .filter(|m| suits(need.task, need.types.as_deref(), m.size, p.types))
-                .collect();
-            lesser.sort_by_key(|m| (m.view.map(|v| v.loss), m.id));
-            for m in lesser {
+            for m in &lesser {
                 if rest == 0 || cleared.len() >= CLEAR_MAX {
                     break;
                 }
+                let helps = m.share != *share
+                    && m.view.is_some_and(|v| v.least.is_some_and(|l| l > need.priority))
+                    && m.size.fits(need.task) > 0
+                    && !cleared.contains(m.id)
+                    && allowed(&m.record.kind, &m.record.zone, m.record.spot)
+                    && suits(need.task, need.types.as_deref(), m.size, p.types);
+                if !helps {
+                    continue;
+                }
                 cleared.insert(m.id);
                 plan.clear.push((m.id.clone(), *share, need.priority));
                 rest -= m.size.fits(need.task).min(i64::from(rest)) as u32;
@@ -234,14 +276,13 @@
     })
 }
 
-#[allow(clippy::too_many_arguments)]
 fn rent_for(
     p: &Picture,
+    overview: &mut Overview,
     plan: &mut Plan,
     share: usize,
     need: &Need,
     rest: u32,
-    work: &mut BTreeMap<(usize, bool), i64>,
     allowed: &dyn Fn(&str, &str, bool) -> bool,
 ) {
     let mut want = rest;
@@ -250,25 +291,21 @@
         let mut slots: i64 = 0;
         let mut busy: i64 = 0;
         let mut by_zone: BTreeMap<&str, i64> = BTreeMap::new();
-        for m in p.machines.iter().filter(|m| m.share == share && !m.bad()) {
-            let mut size = m.size;
-            if let Some(v) = m.view {
-                size.sub(v.pinned);
-                busy += v.used.cpus - v.pinned.cpus;
-            }
-            let fit = size.fits(need.task);
-            let suits = suits(need.task, need.types.as_deref(), m.size, p.types);
-            if suits && allowed(&m.record.kind, &m.record.zone, m.record.spot) && fit > 0 {
-                slots += fit;
-                *by_zone.entry(m.record.zone.as_str()).or_default() += fit;
-            } else if let Some(v) = m.view {
-                busy -= v.used.cpus - v.pinned.cpus;
+        for s in overview.stocks.iter().filter(|s| s.share == share) {
+            let mut size = s.size;
+            size.sub(s.pinned);
+            let (fit, r) = (size.fits(need.task), s.record);
+            let suits = suits(need.task, need.types.as_deref(), s.size, p.types);
+            if fit > 0 && suits && allowed(&r.kind, &r.zone, r.spot) {
+                busy += s.busy;
+                slots += fit * s.count;
+                *by_zone.entry(r.zone.as_str()).or_default() += fit * s.count;
             }
         }
         let unit = need.task.cpus.max(1);
         let estimate = need.estimate.max(Micros::from_secs(5)).0 / 1_000;
         // What runs is half through on average.
-        let sum = work.entry((share, need.task.gpus > 0)).or_default();
+        let sum = overview.work.entry((share, need.task.gpus > 0)).or_default();
         *sum += i64::from(need.count) * estimate * unit / 1_000;
         let todo = *sum + busy * estimate / 2_000;
         let prices = p
@@ -312,7 +349,7 @@
                     let price = if spot { t.spot_price } else { t.price };
                     let cost = price * 1_000 / fit.min(i64::from(want)).max(1);
                     // Zones with fewer machines first, so that a spread job finds both.
-                    let here = p.machines.iter().filter(|m| m.record.zone == *z).count() as i64;
+                    let here = overview.by_zone.get(z.as_str()).copied().unwrap_or(0);
                     let cost = cost * 1_000 + here;
                     if best.as_ref().is_none_or(|b| cost < b.0) {
                         best = Some((cost, t, z, spot, fit));
--- a/crates/seamfront-core/src/placement.rs
+++ b/crates/seamfront-core/src/placement.rs
@@ -107,6 +107,15 @@
     pub cached: bool,
 }
 
+/// What a job finds in one zone.
+struct InZone<'r> {
+    name: &'r str,
+    /// Tasks that it has there.
+    tasks: u32,
+    /// Candidates, the best last, by their position in the list, with how many still fit.
+    left: Vec<(usize, u32)>,
+}
+
 impl<'a> Wish<'a> {
     pub fn of(job: &'a Job, now: Micros, types: &'a [MachineType]) -> Wish<'a> {
         Wish { spec: &job.spec, avoid: &job.avoid, now, types, any_size: None, cached: false }
@@ -242,29 +251,28 @@
         partial: bool,
     ) -> Vec<usize> {
         let cap = self.spec.zone_cap();
-        // By zone: how many tasks it has, and what is left of the list there, as (position, fits).
-        let mut zones: Vec<(&str, u32, Vec<(usize, u32)>)> = Vec::new();
+        let mut zones: Vec<InZone> = Vec::new();
         for (at, (k, fits)) in found.iter().enumerate().rev() {
-            let zone = room.zone(*k);
-            let z = zones.iter().position(|z| z.0 == zone).unwrap_or_else(|| {
-                zones.push((zone, taken.get(zone).copied().unwrap_or(0), Vec::new()));
+            let name = room.zone(*k);
+            let z = zones.iter().position(|z| z.name == name).unwrap_or_else(|| {
+                zones.push(InZone { name, tasks: taken.get(name).copied().unwrap_or(0), left: Vec::new() });
                 zones.len() - 1
             });
-            zones[z].2.push((at, *fits));
+            zones[z].left.push((at, *fits));
         }
         let mut got = Vec::new();
         while (got.len() as u32) < n {
-            let open = zones.iter_mut().filter(|z| z.1 < cap).filter_map(|z| {
-                let at = z.2.last()?.0;
-                let least = if self.spec.spread { z.1 } else { 0 };
+            let open = zones.iter_mut().filter(|z| z.tasks < cap).filter_map(|z| {
+                let at = z.left.last()?.0;
+                let least = if self.spec.spread { z.tasks } else { 0 };
                 Some(((least, at), z))
             });
             let Some(((_, at), zone)) = open.min_by_key(|o| o.0) else { break };
-            zone.1 += 1;
-            if let Some(last) = zone.2.last_mut() {
+            zone.tasks += 1;
+            if let Some(last) = zone.left.last_mut() {
                 last.1 -= 1;
                 if last.1 == 0 {
-                    zone.2.pop();
+                    zone.left.pop();
                 }
             }
             got.push(found[at].0);
