--- a/crates/seamfront-core/src/engine.rs
+++ b/crates/seamfront-core/src/engine.rs
@@ -388,7 +388,7 @@
     /// it is the schedulers', the rest is left to users. It is divided by what waits where, as the
     /// controllers tell each other, since one share may need most of it while others need nothing;
     /// who is not heard of keeps the part of the shares that it holds.
-    fn write_rate(&self) -> i64 {
+    pub(crate) fn write_rate(&self) -> i64 {
         let n = self.cfg.members.len() as i64;
         let total = self.cfg.write_rps * 850;
         let (mut own, mut all) = (0, 0);
--- a/crates/seamfront-core/src/fleet.rs
+++ b/crates/seamfront-core/src/fleet.rs
@@ -61,8 +61,6 @@
     /// Last 200 to a report of it by this holder: its lease counts from before that.
     pub last_ok: Option<Micros>,
     pub direct: Option<Direct>,
-    /// Tasks here may wait for a direct start.
-    pub unsent: bool,
     pub notice: Option<Micros>,
     pub released: Option<Micros>,
     /// Being emptied for another share's more important work.
@@ -112,7 +110,6 @@
             challenge: false,
             last_ok: None,
             direct: None,
-            unsent: true,
             notice: None,
             released: None,
             clearing: None,
--- a/crates/seamfront-core/src/leader.rs
+++ b/crates/seamfront-core/src/leader.rs
@@ -59,6 +59,9 @@
     adopting: BTreeMap<MachineId, MachineRecord>,
     /// Released machines that the last plan wanted to move or return.
     moves_waiting: usize,
+    /// Machines that are to be returned; those that were let go empty can wait for the others.
+    deletes_waiting: usize,
+    emptied: BTreeSet<MachineId>,
     /// Asked to be cleared for a share, since when.
     clearing: BTreeMap<MachineId, (usize, Micros)>,
     cloud_rest: Micros,
@@ -67,6 +70,7 @@
 const TICK: Micros = Micros::from_millis(250);
 /// A share's word counts as long as it is not older than this.
 const VIEW_AGE: Micros = Micros::from_secs(4);
+const DELETE_EVERY: Micros = Micros::from_millis(500);
 const REFUSED_FOR: Micros = Micros::from_secs(15);
 
 impl Leader {
@@ -92,6 +96,8 @@
             writing: BTreeSet::new(),
             adopting: BTreeMap::new(),
             moves_waiting: 0,
+            deletes_waiting: 0,
+            emptied: BTreeSet::new(),
             clearing: BTreeMap::new(),
             cloud_rest: now,
         }
@@ -226,18 +232,26 @@
 
     fn deletes_tick(&mut self) {
         let now = self.now;
-        let most = self.cfg.txn_ops.min(100).min(self.leader_writes().max(4));
+        // Half of what the store takes meanwhile, if need be: what stands on machines that fell by the
+        // hundred waits for this, while a busy store leaves the leader nothing otherwise.
+        let meanwhile = (self.write_rate() * DELETE_EVERY.0 / 2_000_000_000) as usize;
+        let most = self.cfg.txn_ops.min(100).min(self.leader_writes().max(meanwhile).max(4));
         let Some(l) = self.leader.as_mut() else { return };
         if l.delete_busy || now < l.delete_next || now < l.cloud_rest {
             return;
         }
-        let ids: Vec<MachineId> =
-            self.machines.iter().filter(|(_, (r, _))| r.share.is_none()).map(|(id, _)| id.clone()).take(most).collect();
+        l.delete_next = now + DELETE_EVERY;
+        l.emptied.retain(|id| self.machines.get(id).is_some_and(|m| m.0.share.is_none()));
+        let given_up = self.machines.iter().filter(|(_, (r, _))| r.share.is_none()).map(|(id, _)| id);
+        let (last, mut ids): (Vec<MachineId>, Vec<MachineId>) =
+            given_up.cloned().partition(|id| l.emptied.contains(id));
+        ids.extend(last);
+        l.deletes_waiting = ids.len();
+        ids.truncate(most);
         if ids.is_empty() {
             return;
         }
         l.delete_busy = true;
-        l.delete_next = now + Micros::from_millis(500);
         info!(machines = ?ids.iter().map(|i| i.as_str()).collect::<Vec<_>>(), "returning machines");
         self.leader_cloud(CloudCall::Delete { machines: ids.clone() }, LeaderCall::Delete { ids });
     }
@@ -326,13 +340,16 @@
 
     /// Moves released machines, all in one transaction: a gang gets its machines together.
     fn assign(&mut self, writes: Vec<(MachineId, Option<usize>)>) {
-        let (mut when, mut apply, mut ids) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut when, mut apply, mut ids, mut emptied) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
         for (id, to) in writes {
             let Some((record, version)) = self.machines.get(&id) else { continue };
             let record = MachineRecord { share: to, ..record.clone() };
             info!(machine = %id, to = ?to, "machine assigned");
             when.push((machine_key(&id), *version));
             apply.push(crate::share::machine_write(&id, &record));
+            if to.is_none() {
+                emptied.push(id.clone());
+            }
             ids.push(id);
         }
         if ids.is_empty() {
@@ -340,6 +357,7 @@
         }
         if let Some(l) = self.leader.as_mut() {
             l.writing.extend(ids.iter().cloned());
+            l.emptied.extend(emptied);
         }
         self.leader_commit(when, apply, LeaderCall::Machines { ids });
     }
@@ -405,7 +423,7 @@
     pub(crate) fn leader_writes_awaited(&self) -> usize {
         let rented =
             |l: &Leader| l.rents.values().filter(|r| r.step == RentStep::Settling).map(|r| r.got.len()).sum::<usize>();
-        self.leader.as_ref().map_or(0, |l| l.adopting.len() + l.moves_waiting + rented(l))
+        self.leader.as_ref().map_or(0, |l| l.adopting.len() + l.moves_waiting + l.deletes_waiting + rented(l))
     }
 
     /// How many records the leader may write now; half of what there is, so that shares held here can
--- a/crates/seamfront-core/src/share.rs
+++ b/crates/seamfront-core/src/share.rs
@@ -87,6 +87,10 @@
     /// Machines that the last round held for gangs.
     pub(crate) gathered: BTreeSet<MachineId>,
     look_next: Micros,
+    /// Machines where tasks may wait for a direct start.
+    unsent: BTreeSet<MachineId>,
+    /// When machines are looked through again for what must be written of them.
+    machine_writes_next: Micros,
 }
 
 /// How long a machine stays released without the leader taking it.
@@ -125,6 +129,8 @@
             visited: Cell::new(0),
             gathered: BTreeSet::new(),
             look_next: Micros::ZERO,
+            unsent: BTreeSet::new(),
+            machine_writes_next: Micros::ZERO,
         }
     }
 
@@ -260,6 +266,7 @@
                         m.tasks.insert(TaskKey { job: job.clone(), index: *i });
                     }
                 }
+                self.unsent.insert(id.clone());
                 self.machines.insert(id, m);
             }
         }
@@ -731,32 +738,33 @@
         if !ctx.acting || self.phase != SharePhase::Ready {
             return;
         }
-        for (id, m) in &mut self.machines {
-            if !m.unsent || m.direct.is_some() || m.tasks.is_empty() || !m.usable(ctx.now, ctx.cfg.report, self.version)
-            {
-                continue;
+        self.unsent.retain(|id| {
+            let Some(m) = self.machines.get_mut(id).filter(|m| !m.tasks.is_empty()) else { return false };
+            if m.direct.is_some() || !m.usable(ctx.now, ctx.cfg.report, self.version) {
+                return true;
             }
             let token = m.token(self.version);
-            let Some(addr) = m.addr.clone() else { continue };
+            let Some(addr) = m.addr.clone() else { return true };
             let mut orders = Vec::new();
-            m.unsent = false;
+            let mut later = false;
             for key in &m.tasks {
                 let Some(job) = self.jobs.get_mut(&key.job).filter(|j| j.live()) else { continue };
                 let Some(p) = job.tasks.get_mut(&key.index) else { continue };
                 let fresh = p.phase == Phase::Ordered && p.session == 0 && p.stop.is_none();
-                m.unsent |= fresh && p.not_before > ctx.now;
+                later |= fresh && p.not_before > ctx.now;
                 if fresh && p.not_before <= ctx.now {
                     p.session = m.session;
                     orders.push(Order::Start { task: key.clone(), attempt: p.attempt });
                 }
             }
             if orders.is_empty() {
-                continue;
+                return later;
             }
             debug!(machine = %id, token, orders = orders.len(), "starting tasks directly");
             m.direct = Some(Direct { token, session: m.session, unknown: false });
             ctx.fx.push(Effect::Direct { machine: id.clone(), addr, session: m.session, token, orders });
-        }
+            later
+        });
     }
 
     pub fn direct_result(&mut self, ctx: &mut Ctx, id: &MachineId, outcome: DirectOutcome) {
@@ -847,7 +855,8 @@
     /// [`Share::written`].
     pub fn writes(&mut self, now: Micros, budget: usize) -> Vec<ShareWrite> {
         let mut out = Vec::new();
-        for (id, m) in &mut self.machines {
+        let look = now >= self.machine_writes_next;
+        for (id, m) in self.machines.iter_mut().filter(|_| look) {
             if out.len() >= budget.div_ceil(2) {
                 // Tokens of a thousand machines must not keep tasks from being started.
                 break;
@@ -868,6 +877,9 @@
             m.writing = true;
             out.push(ShareWrite::Machine { machine: id.clone(), version: m.version, record });
         }
+        if look && out.is_empty() {
+            self.machine_writes_next = now + LOOK_EVERY;
+        }
         // Results alone are recorded now and then: until then their workers keep them.
         let rested = |j: &Job| now - j.record.asked_at >= RESULTS_EVERY;
         let mut due: Vec<(bool, Priority, Micros, JobId)> = self
@@ -949,9 +961,7 @@
                         .map(|(i, p)| {
                             p.phase = Phase::Ordered;
                             p.since = ctx.now;
-                            if let Some(m) = self.machines.get_mut(&p.machine) {
-                                m.unsent = true;
-                            }
+                            self.unsent.insert(p.machine.clone());
                             *i
                         })
                         .collect();
--- a/crates/seamfront/src/main.rs
+++ b/crates/seamfront/src/main.rs
@@ -5,6 +5,10 @@
 use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use tracing::level_filters::LevelFilter;
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
 
 /// Cluster scheduler: runs gangs, arrays and services on rented machines.
 #[derive(Parser)]
@@ -26,7 +30,11 @@
 fn main() -> ExitCode {
     let args = Args::parse();
     let level = std::env::var("LOG_LEVEL").ok().and_then(|l| l.parse().ok()).unwrap_or(tracing::Level::INFO);
-    tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).without_time().with_ansi(false).init();
+    // More than info is of use only about ourselves: libraries tell each frame of each connection.
+    let others = LevelFilter::from(level).min(LevelFilter::INFO);
+    let told = Targets::new().with_target("seamfront", level).with_default(others);
+    let lines = tracing_subscriber::fmt::layer().with_writer(std::io::stderr).without_time().with_ansi(false);
+    tracing_subscriber::registry().with(lines).with(told).init();
     let settings = match settings::load(&args.config) {
         Ok(s) => s,
         Err(e) => {
