--- a/crates/seamfront-core/src/port.rs
+++ b/crates/seamfront-core/src/port.rs
@@ -184,30 +184,47 @@
     pub service: bool,
 }
 
-/// A machine as its owner sees it, told to the leader.
+/// A machine as its owner sees it, told to the leader. There are thousands of these in a second: names
+/// are short on the wire and what is as usual is left out.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MachineView {
+    #[serde(rename = "i")]
     pub id: MachineId,
+    #[serde(rename = "v")]
     pub version: u64,
+    #[serde(rename = "n", default, skip_serializing_if = "usual")]
     pub up: bool,
+    #[serde(rename = "u", default, skip_serializing_if = "usual")]
     pub used: Amounts,
     /// Of that, by services, which do not end by themselves.
+    #[serde(rename = "p", default, skip_serializing_if = "usual")]
     pub pinned: Amounts,
     /// Empty since this long, with nothing unsettled; only then may it be asked for.
+    #[serde(rename = "e", default, skip_serializing_if = "usual")]
     pub idle: Option<Micros>,
     /// Idle, but held for a gang that waits for more: not to be returned, though more urgent work
     /// elsewhere may have it.
+    #[serde(rename = "g", default, skip_serializing_if = "usual")]
     pub gathered: bool,
+    #[serde(rename = "r", default, skip_serializing_if = "usual")]
     pub released: bool,
     /// The owner wants it gone: silent, failing or about to be taken.
+    #[serde(rename = "b", default, skip_serializing_if = "usual")]
     pub bad: bool,
     /// About to be taken back by the cloud.
+    #[serde(rename = "t", default, skip_serializing_if = "usual")]
     pub leaving: bool,
     /// The most important priority among its tasks, and the work that clearing it would lose.
+    #[serde(rename = "l", default, skip_serializing_if = "usual")]
     pub least: Option<Priority>,
+    #[serde(rename = "w", default, skip_serializing_if = "usual")]
     pub loss: Micros,
 }
 
+fn usual<T: Default + PartialEq>(v: &T) -> bool {
+    *v == T::default()
+}
+
 /// Between controllers. Nothing here is needed for safety; it saves time.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum MeshMessage {
