--- a/crates/seamfront-core/src/types.rs
+++ b/crates/seamfront-core/src/types.rs
@@ -392,12 +392,20 @@
     /// of its deadline and of its class's objectives that can still be met. A job that can meet
     /// none any more gets none.
     pub fn start_by(&self, spec: &JobSpec, wall: Micros) -> Option<Micros> {
+        self.times_to_start(spec).filter(|t| *t > wall).min()
+    }
+
+    /// Whether a time that the job should have kept has passed already.
+    pub fn late(&self, spec: &JobSpec, wall: Micros) -> bool {
+        self.times_to_start(spec).any(|t| t <= wall)
+    }
+
+    fn times_to_start<'a>(&'a self, spec: &'a JobSpec) -> impl Iterator<Item = Micros> + 'a {
         let of_class = self.objectives.iter().filter(|o| o.class == spec.class).map(|o| {
             let run = if o.started { Micros::ZERO } else { spec.estimate };
             spec.submitted + o.within - run
         });
-        let deadline = spec.deadline.map(|d| spec.submitted + d - spec.estimate);
-        of_class.chain(deadline).filter(|t| *t > wall).min()
+        of_class.chain(spec.deadline.map(|d| spec.submitted + d - spec.estimate))
     }
 
     /// Teams are dealt to shares like cards, the largest first, so that shares are alike.
