--- a/crates/seamfront-core/src/engine.rs
+++ b/crates/seamfront-core/src/engine.rs
@@ -89,6 +89,7 @@
     write_filled: Micros,
     write_rest: Micros,
     write_next: Micros,
+    pub(crate) leader_looked: i64,
 }
 
 impl Engine {
@@ -124,6 +125,7 @@
             write_filled: Micros::ZERO,
             write_rest: Micros::ZERO,
             write_next: Micros::ZERO,
+            leader_looked: 0,
             cfg: Rc::new(cfg),
         }
     }
@@ -182,6 +184,12 @@
         self.talk();
     }
 
+    /// How much was looked at since the start by the shares held now and by the leader. What a step costs
+    /// follows from it, and unlike time it is the same on every machine.
+    pub fn looked(&self) -> i64 {
+        self.leader_looked + self.shares.iter().flatten().map(|s| s.looked.get()).sum::<i64>()
+    }
+
     // ---- plumbing ------------------------------------------------------------------------
 
     pub(crate) fn acting(&self, slot: usize) -> bool {
--- a/crates/seamfront-core/src/leader.rs
+++ b/crates/seamfront-core/src/leader.rs
@@ -288,10 +288,12 @@
             tuning: &self.cfg.tuning,
             clearing: &l.clearing,
         };
+        let looked = picture.machines.len() * 4 + picture.needs.len();
         let mut plan = capacity::plan(&picture);
         let released: BTreeSet<MachineId> =
             picture.machines.iter().filter(|m| m.view.is_some_and(|v| v.released)).map(|m| m.id.clone()).collect();
         drop(picture);
+        self.leader_looked += looked as i64;
         if !heard {
             // A share that nobody speaks for may need what looks idle.
             plan.returns.retain(|id| released.contains(id));
--- a/crates/seamfront-core/src/rounds.rs
+++ b/crates/seamfront-core/src/rounds.rs
@@ -21,6 +21,9 @@
 /// Without a change, a round now and then notices what time alone has changed.
 const ROUND_IDLE: Micros = Micros::from_millis(500);
 
+/// What came within this time tells how much will come.
+const COUNTED_FOR: Micros = Micros::from_secs(60);
+
 struct Round {
     room: Room,
     /// Held for gangs that wait for more.
@@ -102,7 +105,7 @@
 impl Share {
     pub fn round(&mut self, ctx: &mut Ctx) {
         // A round over many waiting jobs and machines costs much: the next one waits in proportion.
-        let cost = Micros(self.visited.get() * VISIT_REST);
+        let cost = Micros(self.round_cost * VISIT_REST);
         let gap = if self.dirty { ROUND_GAP.max(cost.min(ROUND_IDLE)) } else { ROUND_IDLE };
         if self.phase != SharePhase::Ready || !ctx.acting || ctx.now - self.last_round < gap {
             return;
@@ -132,20 +135,62 @@
                 m.gathered = true;
             }
         }
-        self.visited.set(round.room.looked.get());
+        self.round_cost = round.room.looked.get();
+        self.look(round.room.looked.get() as usize + self.jobs.len() + self.machines.len());
     }
 
-    /// Live services must start at once when they come. Of what is free, room for one more like the
-    /// largest there is is kept from all lesser work; nothing is stopped for that.
+    /// Live services must start at once when they come. Of what is free, room is kept from all lesser work
+    /// for those that will come before room could be made or rented, and for one like the largest at
+    /// least: where the images are that such services have here, since a fetch takes longer than they
+    /// may. Nothing is stopped for that.
     fn keep_free(&self, ctx: &Ctx, round: &mut Round) {
-        let services = self.jobs.values().filter(|j| j.live() && j.spec.kind == Kind::Service);
-        let size = |j: &&Job| (i64::from(j.spec.tasks) * j.spec.need.cpus, j.spec.id.clone());
-        let Some(largest) = services.filter(|j| j.spec.priority == Priority::Critical).max_by_key(size) else { return };
+        let live = |j: &&Job| j.live() && j.spec.kind == Kind::Service && j.spec.priority == Priority::Critical;
+        let services: Vec<&Job> = self.jobs.values().filter(live).collect();
+        let size = |j: &&&Job| (i64::from(j.spec.tasks) * j.spec.need.cpus, j.spec.id.clone());
+        let Some(largest) = services.iter().max_by_key(size) else { return };
         let spec = &largest.spec;
+        let fits = |t: &&MachineType| t.size.fits(spec.need) > 0 && spec.suits(t.size, ctx.types);
+        let ahead = ctx.types.iter().filter(fits).map(|t| t.boot).min().unwrap_or(Micros::ZERO).times(3).over(2);
+        let recent = services.iter().filter(|j| ctx.wall - j.spec.submitted < COUNTED_FOR);
+        let recent: i64 = recent.map(|j| i64::from(j.spec.tasks)).sum();
+        let expected = (recent * ahead.0 / COUNTED_FOR.0).max(i64::from(spec.tasks)) as u32;
+        // By image: how many tasks may want it, by how its services are among the others.
+        let mut wanted: BTreeMap<&str, u32> = BTreeMap::new();
+        for j in &services {
+            *wanted.entry(j.spec.image.as_str()).or_default() += j.spec.tasks;
+        }
+        let all: u32 = wanted.values().sum();
+        for n in wanted.values_mut() {
+            *n = (u64::from(expected) * u64::from(*n) / u64::from(all.max(1))).max(u64::from(spec.tasks)) as u32;
+        }
         let wish = Wish::of(largest, ctx.now, ctx.types);
-        let spare = wish.choose(&self.machines, &round.room, When::Now, &BTreeMap::new(), spec.tasks, true);
-        for k in spare {
-            round.room.hold(k, spec.need);
+        let free = wish.places(&self.machines, &round.room, |_, s| s.free.fits(spec.need) > 0);
+        let mut best: Vec<(usize, usize, Vec<&str>)> = free
+            .into_iter()
+            .map(|(k, m)| (k, m.images.iter().filter_map(|i| wanted.get_key_value(i.0.as_str())).map(|w| *w.0)))
+            .map(|(k, here)| (k, here.collect::<Vec<&str>>()))
+            .map(|(k, here)| (usize::MAX - here.len(), k, here))
+            .collect();
+        best.sort_unstable();
+        // Half of a job that is spread must find room in another zone.
+        let mut kept: BTreeMap<(&str, String), u32> = BTreeMap::new();
+        let mut total = 0;
+        for (_, k, here) in best {
+            let zone = round.room.zone(k).to_owned();
+            let cap = |n: u32| if spec.spread { n.div_ceil(2) } else { n };
+            let kept_of = |image| kept.get(&(image, zone.clone())).copied().unwrap_or(0);
+            let lacking = here.iter().map(|i| cap(wanted[i]).saturating_sub(kept_of(*i))).max().unwrap_or(0);
+            // Never more than twice what is expected, however many images there are.
+            let lacking = lacking.max(expected.saturating_sub(total)).min((2 * expected).saturating_sub(total));
+            let n = round.room.spots[k].free.fits(spec.need).min(i64::from(lacking)) as u32;
+            if n == 0 {
+                continue;
+            }
+            for image in here {
+                *kept.entry((image, zone.clone())).or_default() += n;
+            }
+            total += n;
+            round.room.hold(k, spec.need.times(i64::from(n)));
         }
     }
 
@@ -641,6 +686,7 @@
 
     /// What the leader is told of the machines.
     pub fn views(&self, ctx: &Ctx) -> Vec<MachineView> {
+        self.look(self.machines.len());
         self.machines
             .values()
             .filter(|m| m.record.share.is_some())
--- a/crates/seamfront-core/src/share.rs
+++ b/crates/seamfront-core/src/share.rs
@@ -82,8 +82,10 @@
     pub needs: Vec<Need>,
     pub dirty: bool,
     pub last_round: Micros,
-    /// Machines that the last round looked at, once for each time.
-    pub visited: Cell<i64>,
+    /// What the last round looked at: the next one rests in proportion.
+    pub round_cost: i64,
+    /// What was looked at in all: machines, tasks and entries of lists, for the tests that bound it.
+    pub looked: Cell<i64>,
     /// Machines that the last round held for gangs.
     pub(crate) gathered: BTreeSet<MachineId>,
     look_next: Micros,
@@ -126,7 +128,8 @@
             needs: Vec::new(),
             dirty: true,
             last_round: Micros::ZERO,
-            visited: Cell::new(0),
+            round_cost: 0,
+            looked: Cell::new(0),
             gathered: BTreeSet::new(),
             look_next: Micros::ZERO,
             unsent: BTreeSet::new(),
@@ -558,6 +561,7 @@
         let first_notice = !had_notice && m.notice.is_some();
 
         let placed: Vec<TaskKey> = m.tasks.iter().cloned().collect();
+        self.looked.set(self.looked.get() + (placed.len() + report.tasks.len()) as i64);
         m.strays.clear();
         let mut shown: BTreeMap<&TaskKey, &TaskReport> = BTreeMap::new();
         for t in &report.tasks {
@@ -738,6 +742,7 @@
         if !ctx.acting || self.phase != SharePhase::Ready {
             return;
         }
+        self.look(self.unsent.len());
         self.unsent.retain(|id| {
             let Some(m) = self.machines.get_mut(id).filter(|m| !m.tasks.is_empty()) else { return false };
             if m.direct.is_some() || !m.usable(ctx.now, ctx.cfg.report, self.version) {
@@ -785,6 +790,10 @@
         self.dirty = true;
     }
 
+    pub(crate) fn look(&self, items: usize) {
+        self.looked.set(self.looked.get() + items as i64);
+    }
+
     // ---- time ----------------------------------------------------------------------------
 
     pub fn tick(&mut self, ctx: &mut Ctx) {
@@ -792,6 +801,7 @@
             return;
         }
         self.look_next = ctx.now + LOOK_EVERY;
+        self.look(4 * self.machines.len());
         let acting = ctx.cfg.acting_time();
         let version = self.version;
         let over: Vec<MachineId> = self
@@ -856,6 +866,7 @@
     pub fn writes(&mut self, now: Micros, budget: usize) -> Vec<ShareWrite> {
         let mut out = Vec::new();
         let look = now >= self.machine_writes_next;
+        self.look(if look { self.machines.len() } else { 0 } + self.jobs.len());
         for (id, m) in self.machines.iter_mut().filter(|_| look) {
             if out.len() >= budget.div_ceil(2) {
                 // Tokens of a thousand machines must not keep tasks from being started.
--- a/crates/seamfront-core/tests/size.rs
+++ b/crates/seamfront-core/tests/size.rs
@@ -13,9 +13,8 @@
     Scale { nodes, teams: 10, machines, most, page: 500, state_rps, write_rps, times: (5, 26, 46) }
 }
 
-fn day(seed: u64, scale: Scale) -> World {
-    let mut w = World::sized(seed, scale);
-    w.quiet_from = ms(40_000);
+/// Two hundred jobs, a third of them at once.
+fn jobs(w: &mut World) {
     for n in 0..200 {
         let mut spec = w.job(n);
         spec.team = ["d", "e", "f", "g", "h", "i", "j"][n as usize % 7].into();
@@ -24,10 +23,15 @@
             Kind::Service => spec.tasks = w.draw(4..17) as u32,
             Kind::Gang => spec.tasks = w.draw(1..9) as u32,
         }
-        // The last third comes as a burst.
         let at = if n % 3 == 0 { w.draw(20_000..22_000) } else { w.draw(500..30_000) };
         w.submit(ms(at), spec);
     }
+}
+
+fn day(seed: u64, scale: Scale) {
+    let mut w = World::sized(seed, scale);
+    w.quiet_from = ms(40_000);
+    jobs(&mut w);
     w.fault(ms(15_000), Fault::Crash { nodes: (0..scale.nodes).collect(), back: ms(3_000) });
     w.fault(ms(35_000), Fault::Die { count: scale.machines / 10 });
     w.run_until(ms(120_000));
@@ -42,8 +46,7 @@
     }
     let (message, commit) = w.largest;
     assert!(commit <= 60 * 1024, "a transaction of {commit} bytes");
-    println!("{} started, message {message}, commit {commit}", w.truth.started);
-    w
+    assert!(message <= 256 * 1024, "a message of {message} bytes between controllers");
 }
 
 #[test]
@@ -55,3 +58,21 @@
 fn two_thousand_machines_and_three_controllers() {
     day(901, fleet(3, 2_000, 1_000, 400));
 }
+
+/// Work follows what changes, not how many machines there are: with twice as many and the same jobs, a
+/// step looks at hardly more. (There are more steps, since each report is one.) A walk over a share's machines
+/// in each step fails this.
+#[test]
+fn a_step_looks_at_no_more_in_a_fleet_twice_as_large() {
+    let looked = |machines: usize| {
+        let mut w = World::sized(902, fleet(3, machines, 1_000, 400));
+        w.quiet_from = ms(1_000);
+        jobs(&mut w);
+        w.run_until(ms(60_000));
+        assert!(w.truth.started > 5_000, "the run proves nothing: {} tasks started", w.truth.started);
+        let (steps, looked) = w.steps;
+        looked as f64 / steps as f64
+    };
+    let (small, large) = (looked(1_000), looked(2_000));
+    assert!(large < 1.3 * small, "{small:.0} items in a step, and {large:.0} with twice as many machines");
+}
--- a/crates/seamfront-core/tests/world/mod.rs
+++ b/crates/seamfront-core/tests/world/mod.rs
@@ -185,6 +185,8 @@
     /// Bytes of the largest message between controllers and of the largest transaction. Counted in
     /// large worlds only, since it takes writing each out.
     pub largest: (usize, usize),
+    /// Steps of all engines, and what they looked at.
+    pub steps: (i64, i64),
     rng: StdRng,
     queue: BinaryHeap<std::cmp::Reverse<(Micros, u64)>>,
     events: BTreeMap<u64, Event>,
@@ -327,6 +329,7 @@
             scale,
             asked_of_store: BTreeMap::new(),
             largest: (0, 0),
+            steps: (0, 0),
             rng: StdRng::seed_from_u64(seed),
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
@@ -636,7 +639,10 @@
         let own = Micros((self.now - n.born).0 * (100_000 + 25 * node as i64) / 100_000);
         let wall = ms(1_700_000_000_000) + self.now + ms(20 * node as i64);
         let Some(engine) = n.engine.as_mut() else { return };
+        let before = engine.looked();
         let effects = engine.step(own, wall, commands);
+        // A share that is dropped takes its count along.
+        self.steps = (self.steps.0 + 1, self.steps.1 + (engine.looked() - before).max(0));
         let life = n.life;
         for f in effects {
             self.effect(node, life, f);
