--- a/crates/seamfront-core/src/engine.rs
+++ b/crates/seamfront-core/src/engine.rs
@@ -28,6 +28,9 @@
     pub awaited: usize,
 }
 
+/// Waiting jobs that the leader is told of at once: a message between controllers has its bound.
+const NEEDS_MAX: usize = 1_000;
+
 /// What a call's answer is for.
 pub(crate) enum Pending {
     Grant,
@@ -89,6 +92,7 @@
     write_filled: Micros,
     write_rest: Micros,
     write_next: Micros,
+    pub(crate) leader_looked: i64,
 }
 
 impl Engine {
@@ -124,6 +128,7 @@
             write_filled: Micros::ZERO,
             write_rest: Micros::ZERO,
             write_next: Micros::ZERO,
+            leader_looked: 0,
             cfg: Rc::new(cfg),
         }
     }
@@ -182,6 +187,12 @@
         self.talk();
     }
 
+    /// How much was looked at since the start by the shares held now and by the leader. What a step costs
+    /// follows from it, and unlike time it is the same on every machine.
+    pub fn looked(&self) -> i64 {
+        self.leader_looked + self.shares.iter().flatten().map(|s| s.looked.get()).sum::<i64>()
+    }
+
     // ---- plumbing ------------------------------------------------------------------------
 
     pub(crate) fn acting(&self, slot: usize) -> bool {
@@ -616,7 +627,17 @@
                 let told = self.with_share(k, |s, ctx| {
                     (s.phase == SharePhase::Ready).then(|| (s.version, s.needs.clone(), s.views(ctx)))
                 });
-                if let Some((version, needs, machines)) = told.flatten() {
+                if let Some((version, mut needs, machines)) = told.flatten() {
+                    if needs.len() > NEEDS_MAX {
+                        // The most important are first, and what is served makes room for the rest.
+                        warn!(
+                            share = k,
+                            waiting = needs.len(),
+                            told = NEEDS_MAX,
+                            "more jobs wait than the leader is told of"
+                        );
+                        needs.truncate(NEEDS_MAX);
+                    }
                     let message = MeshMessage::Share { share: k, version, needs, machines };
                     if self.leader.is_some() {
                         self.mesh(me, message);
