Smallest first only where a team's limit is what lacks; as much room kept for live services as is expected

There machines are lacking: a pair that holds one idle machine for another loses it to every single that comes. Room kept for each image came to a tenth of the plain machines there; now it is what is expected, where most images are.

--- a/crates/seamfront-core/src/rounds.rs
+++ b/crates/seamfront-core/src/rounds.rs
@@ -154,63 +154,50 @@
         let recent = services.iter().filter(|j| ctx.wall - j.spec.submitted < COUNTED_FOR);
         let recent: i64 = recent.map(|j| i64::from(j.spec.tasks)).sum();
         let expected = (recent * ahead.0 / COUNTED_FOR.0).max(i64::from(spec.tasks)) as u32;
-        // By image: how many tasks may want it, by how its services are among the others.
-        let mut wanted: BTreeMap<&str, u32> = BTreeMap::new();
-        for j in &services {
-            *wanted.entry(j.spec.image.as_str()).or_default() += j.spec.tasks;
-        }
-        let all: u32 = wanted.values().sum();
-        for n in wanted.values_mut() {
-            *n = (u64::from(expected) * u64::from(*n) / u64::from(all.max(1))).max(u64::from(spec.tasks)) as u32;
-        }
+        let images: BTreeSet<&str> = services.iter().map(|j| j.spec.image.as_str()).collect();
         let wish = Wish::of(largest, ctx.now, ctx.types);
         let free = wish.places(&self.machines, &round.room, |_, s| s.free.fits(spec.need) > 0);
-        let mut best: Vec<(usize, usize, Vec<&str>)> = free
-            .into_iter()
-            .map(|(k, m)| (k, m.images.iter().filter_map(|i| wanted.get_key_value(i.0.as_str())).map(|w| *w.0)))
-            .map(|(k, here)| (k, here.collect::<Vec<&str>>()))
-            .map(|(k, here)| (usize::MAX - here.len(), k, here))
-            .collect();
+        let here = |m: &Machine| m.images.iter().filter(|i| images.contains(i.0.as_str())).count();
+        let mut best: Vec<(usize, usize)> = free.into_iter().map(|(k, m)| (usize::MAX - here(m), k)).collect();
         best.sort_unstable();
         // Half of a job that is spread must find room in another zone.
-        let mut kept: BTreeMap<(&str, String), u32> = BTreeMap::new();
-        let mut total = 0;
-        for (_, k, here) in best {
-            let zone = round.room.zone(k).to_owned();
-            let cap = |n: u32| if spec.spread { n.div_ceil(2) } else { n };
-            let kept_of = |image| kept.get(&(image, zone.clone())).copied().unwrap_or(0);
-            let lacking = here.iter().map(|i| cap(wanted[i]).saturating_sub(kept_of(*i))).max().unwrap_or(0);
-            // Never more than twice what is expected, however many images there are.
-            let lacking = lacking.max(expected.saturating_sub(total)).min((2 * expected).saturating_sub(total));
-            let n = round.room.spots[k].free.fits(spec.need).min(i64::from(lacking)) as u32;
-            if n == 0 {
-                continue;
-            }
-            for image in here {
-                *kept.entry((image, zone.clone())).or_default() += n;
-            }
-            total += n;
-            round.room.hold(k, spec.need.times(i64::from(n)));
+        let cap = if spec.spread { expected.div_ceil(2) } else { expected };
+        let mut kept: BTreeMap<String, u32> = BTreeMap::new();
+        for (_, k) in best {
+            let lacking = expected.saturating_sub(kept.values().sum());
+            let in_zone = kept.entry(round.room.zone(k).to_owned()).or_default();
+            let n = i64::from(lacking.min(cap.saturating_sub(*in_zone)));
+            let n = n.min(round.room.spots[k].free.fits(spec.need));
+            *in_zone += n as u32;
+            round.room.hold(k, spec.need.times(n));
         }
     }
 
     /// By turn, then guarantee, then by when it must start to be in time, the oldest first. Work that can't
-    /// be in time any more comes after work that can. Of gangs that can keep all their times the smallest
-    /// go first, in steps of twice the size: they are admitted whole, and where more is asked than there
-    /// is room for, most are in time that way, while by age all would be late together. The largest have
-    /// their turn in the end. (For arrays, which take what there is, it made the large ones late for nothing.)
+    /// be in time any more comes after work that can. Of a team's gangs that ask for more than its limit
+    /// leaves, and can keep all their times, the smallest go first, in steps of twice the size: most are in
+    /// time that way, while by age all would be late together. The largest have their turn in the end.
+    /// Where machines are what is lacking it is otherwise: a gang holds those that it finds, and to let a
+    /// smaller one take them back leaves them idle for longer.
     fn order(&self, ctx: &Ctx, inside: &BTreeSet<JobId>) -> Vec<JobId> {
         let waiting = |j: &&Job| j.unplaced() > 0 && j.paused_until <= ctx.now;
-        let mut order: Vec<_> = self
-            .jobs
-            .values()
-            .filter(waiting)
-            .filter(|j| j.gang.as_ref().is_none_or(|g| g.admissible()))
+        let ready = |j: &&Job| j.gang.as_ref().is_none_or(|g| g.admissible());
+        let waiting: Vec<&Job> = self.jobs.values().filter(waiting).filter(ready).collect();
+        let mut asked: BTreeMap<&str, Amounts> = BTreeMap::new();
+        for j in waiting.iter().filter(|j| j.gang.is_some()) {
+            asked.entry(&j.spec.team).or_default().add(j.spec.need.times(i64::from(j.spec.tasks)));
+        }
+        let over =
+            |t: &Team| asked.get(t.name.as_str()).is_some_and(|a| self.quota.room(t, *a, Amounts::default()) < 1);
+        let over: BTreeSet<&str> = ctx.cfg.teams.iter().filter(|t| over(t)).map(|t| t.name.as_str()).collect();
+        let mut order: Vec<_> = waiting
+            .into_iter()
             .map(|j| {
                 let overdue = j.overdue(ctx.wall);
                 let due = ctx.cfg.start_by(&j.spec, ctx.wall).filter(|_| !overdue).unwrap_or(Micros::MAX);
                 let spec = &j.spec;
                 let size = match spec.kind {
+                    Kind::Gang if !over.contains(spec.team.as_str()) => 0,
                     Kind::Gang if ctx.cfg.late(spec, ctx.wall) => u32::MAX,
                     Kind::Gang => spec.tasks.ilog2(),
                     Kind::Array | Kind::Service => 0,
--- a/crates/seamfront-core/tests/turns.rs
+++ b/crates/seamfront-core/tests/turns.rs
@@ -37,18 +37,27 @@
     h.share.jobs[&JobId::from(id)].tasks.len()
 }
 
-/// By age alone all of a class would be late together. Arrays take what there is, and go by time.
+/// By age alone all that ask for more than their team's limit leaves would be late together. Arrays take
+/// what there is, and gangs that lack machines hold what they find: these go by time.
 #[test]
-fn of_gangs_that_can_be_in_time_the_smallest_goes_first() {
-    for (kind, late, expected) in
-        [(Kind::Gang, false, (0, 2)), (Kind::Gang, true, (8, 0)), (Kind::Array, false, (8, 0))]
-    {
+fn of_gangs_over_their_teams_limit_the_smallest_goes_first() {
+    for (kind, limit, late, expected) in [
+        (Kind::Gang, 8.0, false, (0, 2)),
+        (Kind::Gang, 8.0, true, (8, 0)),
+        (Kind::Gang, 0.0, false, (8, 0)),
+        (Kind::Array, 8.0, false, (8, 0)),
+    ] {
         let mut small = JobSpec { kind, ..array("j-1", 2, Priority::Normal, s(110)) };
         // The time by which it should have been done has passed: it waits for what can be in time.
         small.deadline = late.then(|| s(5));
         let large = JobSpec { kind, ..array("j-0", 8, Priority::Normal, s(100)) };
-        let h = after_a_round(1, s(120), vec![large, small]);
-        assert_eq!((placed(&h, "j-0"), placed(&h, "j-1")), expected, "{kind:?}, {late}");
+        let mut h = Held::new(1, 0);
+        h.cfg.teams[0].limit = Amounts::offered(limit, 0.0, 0.0);
+        for spec in [large, small] {
+            h.share.add_job(Rc::new(spec), 5, s(120));
+        }
+        rounds(&mut h, s(120), 1);
+        assert_eq!((placed(&h, "j-0"), placed(&h, "j-1")), expected, "{kind:?}, {limit}, {late}");
     }
 }
 
