--- a/crates/seamfront-core/src/engine.rs
+++ b/crates/seamfront-core/src/engine.rs
@@ -719,6 +719,10 @@
                 self.with_share(share, |s, ctx| s.release(ctx, &machines, above));
                 self.tell_next = now;
             }
+            MeshMessage::Cancelled { job, tasks } => {
+                self.users.ended.insert(&job, EndRecord { cancelled: true, tasks });
+                self.job_vanished(&job);
+            }
             MeshMessage::Progress { jobs } => {
                 for (id, done, running) in jobs {
                     if self.jobs.contains_key(&id) {
--- a/crates/seamfront-core/src/port.rs
+++ b/crates/seamfront-core/src/port.rs
@@ -241,6 +241,9 @@
     /// The leader asks for idle machines to be released; with `above`, also to be cleared of work
     /// that is less important.
     Release { share: usize, machines: Vec<MachineId>, above: Option<Priority> },
+    /// To the holder of a job's share, once its end is recorded: its view shows that a moment later, and starts
+    /// nothing meanwhile. Nothing rests on its arriving.
+    Cancelled { job: JobId, tasks: u32 },
     /// Display counts of live jobs: (job, done, running).
     Progress { jobs: Vec<(JobId, u32, u32)> },
 }
--- a/crates/seamfront-core/src/rounds.rs
+++ b/crates/seamfront-core/src/rounds.rs
@@ -343,7 +343,7 @@
             }
         }
         if let Some(mut need) = self.need(ctx, id, rest, within) {
-            need.gathering = zone;
+            need.gathering = zone.or(need.gathering);
             self.needs.push(need);
         }
     }
@@ -595,6 +595,9 @@
     fn need(&self, ctx: &Ctx, id: &JobId, count: u32, guaranteed: bool) -> Option<Need> {
         let job = self.jobs.get(id)?;
         let s = &job.spec;
+        // The rest of what must be in one zone can only go where a part of it is.
+        let zones = || job.zones(|m| self.machines.get(m).map(|m| m.record.zone.as_str()));
+        let gathering = if s.one_zone { zones().into_keys().next() } else { None };
         Some(Need {
             job: id.clone(),
             task: s.need,
@@ -602,7 +605,7 @@
             total: s.tasks,
             together: job.gang.is_some(),
             one_zone: s.one_zone,
-            gathering: None,
+            gathering,
             spread: s.spread,
             priority: s.priority,
             guaranteed,
--- a/crates/seamfront-core/src/users.rs
+++ b/crates/seamfront-core/src/users.rs
@@ -186,6 +186,10 @@
             StateReply::Committed { .. } => {
                 info!(job = %id, "cancelled by its user");
                 self.users.ended.insert(&id, end);
+                let share = self.jobs.get(&id).map(|j| j.share).filter(|k| self.shares[*k].is_none());
+                if let Some(share) = share {
+                    self.tell_holder(share, MeshMessage::Cancelled { job: id.clone(), tasks: end.tasks });
+                }
                 self.job_vanished(&id);
                 self.answer_end(to, &id, end);
             }
@@ -387,7 +391,8 @@
     pub(crate) fn job_appeared(&mut self, spec: Rc<JobSpec>, version: u64) {
         let Some(share) = self.cfg.share_of(&spec.team) else { return };
         let id = spec.id.clone();
-        if self.jobs.get(&id).is_some_and(|j| j.version >= version) {
+        // An end is for ever: a view that is behind may still show the job.
+        if self.users.ended.get(&id).is_some() || self.jobs.get(&id).is_some_and(|j| j.version >= version) {
             return;
         }
         self.jobs.insert(id, LiveJob { spec: spec.clone(), version, share });
--- a/crates/seamfront-core/tests/evidence.rs
+++ b/crates/seamfront-core/tests/evidence.rs
@@ -436,3 +436,74 @@
     h.with(s(101), |s, ctx| s.direct_result(ctx, 9, &id, DirectOutcome::NotSent));
     assert!(h.share.machines[&id].direct.is_none());
 }
+
+/// The worst case of a cancellation that the holder does not hear of: it is confirmed right after the sending of
+/// the holder's last proof, the holder answers a report at the last instant, and the worker's lease counts from
+/// then on a clock that is slow. See "The gap" in docs/design.md.
+#[test]
+fn the_last_answer_and_a_lease_end_before_a_cancellation_falls_due() {
+    let mut alone = Alone::new();
+    let token = alone.hello(s(2), report("i-0", 1, 1, 0, &[])).expect("it holds the share");
+    // Proofs are made every second, so the last one was sent within this second.
+    let proven = s(1);
+    alone.reached = false;
+    let mut last = Micros::ZERO;
+    for (n, t) in (2_050..40_000).step_by(50).enumerate() {
+        let now = Micros::from_millis(t);
+        if alone.hello(now, report("i-0", 1, 2 + n as u64, token, &[])).is_some() {
+            last = now;
+        }
+    }
+    let cfg = settings();
+    assert!(last > s(2) + cfg.acting_time() - s(1), "an outage shorter than that costs nothing");
+    let drift = |t: Micros| Micros(t.0 + t.0 / 2_000);
+    assert!(drift(last - proven) + drift(cfg.lease) < cfg.cancel, "answered until {last:?}");
+}
+
+/// A process that is back within a moment remembers no proof: while the store is away it answers nobody.
+#[test]
+fn back_at_once_it_acts_on_no_proof_of_its_former_life() {
+    let mut alone = Alone::new();
+    let token = alone.hello(s(2), report("i-0", 1, 1, 0, &[])).expect("it holds the share");
+    alone.engine = Engine::new(settings());
+    alone.watches.clear();
+    alone.reached = false;
+    for t in 0..40 {
+        assert_eq!(alone.hello(s(t), report("i-0", 1, 2 + t as u64, token, &[])), None);
+    }
+    // And once the store answers, it claims anew: its token is higher than that of its former life.
+    alone.reached = true;
+    alone.run(40_000, 43_000);
+    assert!(alone.hello(s(43), report("i-0", 1, 60, token, &[])).is_some_and(|t| t > token));
+}
+
+/// With any lease and any time to cancel that leave room, and clocks that drift by 0.05% each: what was answered
+/// for the last time is over before a cancellation that came right after the proof falls due, with three seconds
+/// to spare for what the machine needs to notice.
+#[test]
+fn the_time_to_act_without_proof_leaves_room_for_a_whole_lease() {
+    for lease in 5..60 {
+        for room in 6..60 {
+            let cfg = Settings { lease: s(lease), cancel: s(lease + room), ..settings() };
+            if !cfg.acting_time_fits() {
+                continue;
+            }
+            let slow = |t: Micros| Micros(t.0 + t.0 / 2_000);
+            assert!(slow(cfg.acting_time()) + slow(cfg.lease) + s(3) <= cfg.cancel, "{lease} {room}");
+        }
+    }
+}
+
+/// Given up, though the store still has it as ours: what was sent under that version may still be answered, reports
+/// that show it may still come, and names of rentals made with it are used. So the share is claimed under a new
+/// one.
+#[test]
+fn a_claim_that_was_given_up_is_not_acted_on_again() {
+    let mut a = Alone::new();
+    let token = a.hello(s(3), report("i-0", 1, 1, 0, &[])).expect("it is ours");
+    a.reached = false;
+    assert_eq!(a.hello(s(10), report("i-0", 1, 2, token + 5, &[])), None, "given up");
+    a.reached = true;
+    a.run(10_050, 13_000);
+    assert!(a.hello(s(13), report("i-1", 1, 1, 0, &[])).is_some_and(|t| t > token), "acted again under {token}");
+}
