--- /dev/null
+++ b/crates/seamfront-core/src/chains.rs
@@ -0,0 +1,532 @@
+//! Jobs that wait for others. What a job needs stands in its record, and how the needed ones ended in theirs:
+//! whatever becomes of a controller, any other finds all of it there. Each keeps a picture of who waits for
+//! whom among the live jobs; it follows from the view of `job/`, in which a needed job is seen before the one
+//! that needs it.
+//!
+//! A job starts only once the store has said of each that it needs that it is done. One that needs a cancelled
+//! job is cancelled in turn, link by link: the end of the first is durable, and the rest follows from it.
+
+use crate::engine::{Engine, LiveJob, Pending};
+use crate::port::*;
+use crate::share::SharePhase;
+use crate::types::*;
+use crate::users::{end_key, job_key, EndRecord, Wish};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use tracing::{debug, info, warn};
+
+/// A live job's place in its chain.
+#[derive(Clone, Debug, Default)]
+pub struct Chain {
+    /// Jobs that it needs and that are not known to be done.
+    needs: BTreeSet<JobId>,
+    /// The rest of the list is still to be read.
+    unread: bool,
+    /// Time of day when the last job that it needs was known to be done.
+    ready: Option<Micros>,
+    /// What jobs that need it ask of it: how important, and by what time of day it should be done.
+    urgency: Option<(Priority, Option<Micros>)>,
+}
+
+impl Chain {
+    pub fn waits(&self) -> bool {
+        self.unread || !self.needs.is_empty()
+    }
+}
+
+impl LiveJob {
+    /// By what time of day it should be done, for its own sake and that of the jobs that need it.
+    fn due(&self) -> Option<Micros> {
+        let own = self.spec.deadline.map(|d| self.spec.submitted + d);
+        let others = self.chain.urgency.and_then(|u| u.1);
+        own.into_iter().chain(others).min()
+    }
+
+    fn priority(&self) -> Priority {
+        self.chain.urgency.map_or(self.spec.priority, |u| u.0.min(self.spec.priority))
+    }
+
+    /// What it asks for as things stand. Its deadline counts from its submission, its other times from when the
+    /// last job that it needs was done.
+    pub fn spec_now(&self) -> Rc<JobSpec> {
+        let (ready, due) = (self.chain.ready.unwrap_or(self.spec.submitted), self.due());
+        let deadline = due.map(|d| d - ready);
+        if ready == self.spec.submitted && deadline == self.spec.deadline && self.priority() == self.spec.priority {
+            return self.spec.clone();
+        }
+        Rc::new(JobSpec { submitted: ready, deadline, priority: self.priority(), ..(*self.spec).clone() })
+    }
+}
+
+#[derive(Debug, Default)]
+struct Asked {
+    busy: bool,
+    at: Micros,
+}
+
+#[derive(Debug)]
+struct Orphan {
+    /// The cancelled job that it needs.
+    of: JobId,
+    busy: bool,
+    at: Micros,
+    /// It made a transaction with others fail, and is tried by itself.
+    alone: bool,
+}
+
+#[derive(Debug, Default)]
+pub struct Chains {
+    /// By needed job: the live jobs that wait for it.
+    waiters: BTreeMap<JobId, BTreeSet<JobId>>,
+    /// Needed jobs that are not live in the view: the store is asked how they ended.
+    unknown: BTreeMap<JobId, Asked>,
+    /// Live jobs that need a cancelled one.
+    orphans: BTreeMap<JobId, Orphan>,
+    /// Live jobs whose list is to be read on.
+    unread: BTreeMap<JobId, Asked>,
+}
+
+/// Questions to the store at once, so that a crowd of chains leaves it room for everything else.
+const ASKED_MAX: usize = 8;
+const AGAIN: Micros = Micros::from_millis(400);
+/// Whoever holds the share cancels at once; others see to it if nobody did.
+const OTHERS_AFTER: Micros = Micros::from_secs(3);
+/// A step that follows another needs so long besides its own run: to be placed, to fetch, to be reported.
+const STEP: Micros = Micros::from_secs(10);
+
+fn needs_prefix(id: &JobId) -> String {
+    format!("needs/{id}/")
+}
+
+fn needs_key(id: &JobId, part: usize) -> String {
+    format!("needs/{id}/{part:05}")
+}
+
+impl Engine {
+    // ---- submissions -----------------------------------------------------------------------
+
+    /// A submission may name only jobs that were accepted. What neither the view nor our memory knows is asked of
+    /// the store, one after the other; what was found is remembered for the user's next try.
+    pub(crate) fn check_needs(&mut self, to: ReplyTo, spec: Rc<JobSpec>) {
+        let left = if self.impossible(&spec).is_some() { Vec::new() } else { spec.needs.clone() };
+        self.check_left(to, spec, left);
+    }
+
+    fn check_left(&mut self, to: ReplyTo, spec: Rc<JobSpec>, mut left: Vec<JobId>) {
+        left.retain(|n| !self.jobs.contains_key(n) && self.users.ended.get(n).is_none());
+        if let Some(n) = left.last() {
+            self.users.in_flight += 1;
+            let key = job_key(n);
+            return self.state(StateCall::Get { key }, Pending::NeedKnown { to, spec, left, end: false });
+        }
+        let cancelled = spec.needs.iter().find(|n| self.users.ended.get(n).is_some_and(|e| e.cancelled));
+        if let Some(n) = cancelled.filter(|_| self.impossible(&spec).is_none()) {
+            info!(job = %spec.id, needs = %n, "accepted and cancelled: a job that it needs is cancelled");
+            let end = EndRecord { cancelled: true, tasks: spec.tasks };
+            let when = vec![(job_key(&spec.id), 0), (end_key(&spec.id), 0)];
+            let value = serde_json::to_value(end).unwrap_or_default();
+            let apply = vec![Write::Put { key: end_key(&spec.id), value, lease: None }];
+            self.users.in_flight += 1;
+            return self.state(StateCall::Commit { when, apply }, Pending::SubmitCancelled { to, spec });
+        }
+        let parts = self.needs_in_parts(&spec);
+        if parts.len() > 1 {
+            return self.write_needs(to, spec, parts, 1);
+        }
+        self.submit_checked(to, spec);
+    }
+
+    pub(crate) fn need_known_reply(
+        &mut self,
+        to: ReplyTo,
+        spec: Rc<JobSpec>,
+        mut left: Vec<JobId>,
+        end: bool,
+        reply: StateReply,
+    ) {
+        self.users.in_flight -= 1;
+        let Some(n) = left.last().cloned() else { return self.later(to) };
+        match reply {
+            StateReply::Entry(_) if !end => {
+                left.pop();
+                self.check_left(to, spec, left);
+            }
+            StateReply::Entry(e) => match serde_json::from_value::<EndRecord>(e.value) {
+                Ok(record) => {
+                    self.users.ended.insert(&n, record);
+                    self.check_left(to, spec, left);
+                }
+                Err(_) => self.later(to),
+            },
+            StateReply::Missing if !end => {
+                self.users.in_flight += 1;
+                let key = end_key(&n);
+                self.state(StateCall::Get { key }, Pending::NeedKnown { to, spec, left, end: true });
+            }
+            StateReply::Missing => self.doubt(to, spec, format!("espera: {n} was never accepted")),
+            _ => self.later(to),
+        }
+    }
+
+    pub(crate) fn submit_cancelled_reply(&mut self, to: ReplyTo, spec: &JobSpec, reply: &StateReply) {
+        self.users.in_flight -= 1;
+        match reply {
+            StateReply::Committed { .. } => {
+                let end = EndRecord { cancelled: true, tasks: spec.tasks };
+                self.users.ended.insert(&spec.id, end);
+                let (id, state) = (spec.id.clone(), ShownState::Cancelled);
+                self.answer(to, Answer::Status { created: true, id, state, done: 0, running: 0 });
+            }
+            StateReply::Conflict { .. } => self.look_up(to, spec.id.clone(), Wish::Poll),
+            _ => self.later(to),
+        }
+    }
+
+    // ---- long lists ------------------------------------------------------------------------
+
+    /// The list as it fits into values: the first part goes with the job.
+    fn needs_in_parts(&self, spec: &JobSpec) -> Vec<Vec<JobId>> {
+        let own = JobSpec { needs: Vec::new(), ..spec.clone() };
+        let own = serde_json::to_string(&own).map_or(0, |s| s.len()) + 40;
+        let mut parts = vec![Vec::new()];
+        let (mut room, mut used) = (self.cfg.value_bytes.saturating_sub(own), 0);
+        for n in &spec.needs {
+            let size = n.as_str().len() + 3;
+            if used + size > room {
+                parts.push(Vec::new());
+                (room, used) = (self.cfg.value_bytes.saturating_sub(20), 0);
+            }
+            used += size;
+            if let Some(p) = parts.last_mut() {
+                p.push(n.clone());
+            }
+        }
+        parts
+    }
+
+    /// The parts are there before the job is: a part without its job means nothing to anybody.
+    fn write_needs(&mut self, to: ReplyTo, spec: Rc<JobSpec>, parts: Vec<Vec<JobId>>, next: usize) {
+        if next >= parts.len() {
+            let (needs, needs_parts) = (parts[0].clone(), parts.len() as u32 - 1);
+            return self.submit_checked(to, Rc::new(JobSpec { needs, needs_parts, ..(*spec).clone() }));
+        }
+        let until = parts.len().min(next + self.cfg.txn_ops.min(20));
+        let put = |k: usize| {
+            let value = serde_json::to_value(&parts[k]).unwrap_or_default();
+            Write::Put { key: needs_key(&spec.id, k), value, lease: None }
+        };
+        let apply = (next..until).map(put).collect();
+        self.users.in_flight += 1;
+        let pending = Pending::NeedsWritten { to, spec, parts, next: until };
+        self.state(StateCall::Commit { when: vec![], apply }, pending);
+    }
+
+    pub(crate) fn needs_written(
+        &mut self,
+        to: ReplyTo,
+        spec: Rc<JobSpec>,
+        parts: Vec<Vec<JobId>>,
+        next: usize,
+        reply: &StateReply,
+    ) {
+        self.users.in_flight -= 1;
+        match reply {
+            StateReply::Committed { .. } => self.write_needs(to, spec, parts, next),
+            _ => self.later(to),
+        }
+    }
+
+    pub(crate) fn needs_read(&mut self, id: JobId, version: u64, mut got: Vec<Entry>, reply: StateReply) {
+        let Some(asked) = self.chains.unread.get_mut(&id) else { return };
+        let Some(j) = self.jobs.get_mut(&id).filter(|j| j.version == version) else { return };
+        (asked.busy, asked.at) = (false, self.now + AGAIN);
+        let StateReply::Page { entries, more, .. } = reply else { return };
+        got.extend(entries);
+        if more {
+            asked.busy = true;
+            let after = got.last().map(|e| e.key.clone());
+            let request = StateCall::List { prefix: needs_prefix(&id), after };
+            return self.state(request, Pending::NeedsRead { id, version, got });
+        }
+        let lists: Vec<Vec<JobId>> = got.into_iter().filter_map(|e| serde_json::from_value(e.value).ok()).collect();
+        if lists.len() < j.spec.needs_parts as usize {
+            return warn!(job = %id, "a part of what it needs can't be read");
+        }
+        self.chains.unread.remove(&id);
+        j.chain.unread = false;
+        self.wait_for(&id, lists.into_iter().flatten().collect());
+        self.released(&id);
+        self.urge(&id);
+    }
+
+    // ---- who waits for whom ----------------------------------------------------------------
+
+    /// Whether it waits.
+    pub(crate) fn chain_appeared(&mut self, id: &JobId) -> bool {
+        let Some(j) = self.jobs.get_mut(id) else { return false };
+        let needs = j.spec.needs.clone();
+        if needs.is_empty() && j.spec.needs_parts == 0 {
+            return false;
+        }
+        if j.spec.needs_parts > 0 {
+            j.chain.unread = true;
+            self.chains.unread.insert(id.clone(), Asked::default());
+        }
+        debug!(job = %id, needs = ?needs, "waits for other jobs");
+        self.wait_for(id, needs);
+        let Some(j) = self.jobs.get_mut(id) else { return false };
+        if !j.chain.waits() {
+            j.chain.ready = Some(self.wall);
+        }
+        true
+    }
+
+    fn wait_for(&mut self, id: &JobId, needs: Vec<JobId>) {
+        for n in needs.into_iter().filter(|n| n != id) {
+            let end = self.users.ended.get(&n);
+            if end.is_some_and(|e| !e.cancelled) {
+                continue;
+            }
+            if let Some(j) = self.jobs.get_mut(id) {
+                j.chain.needs.insert(n.clone());
+            }
+            if end.is_some() {
+                self.orphaned(id, &n);
+                continue;
+            }
+            if !self.jobs.contains_key(&n) {
+                self.chains.unknown.entry(n.clone()).or_default();
+            }
+            self.chains.waiters.entry(n).or_default().insert(id.clone());
+        }
+    }
+
+    /// It is live no more: what it needed is of no interest for its sake, and who needs it is to learn how it ended.
+    pub(crate) fn chain_over(&mut self, id: &JobId, job: &LiveJob) {
+        for n in &job.chain.needs {
+            if let Some(w) = self.chains.waiters.get_mut(n) {
+                w.remove(id);
+                if w.is_empty() {
+                    self.chains.waiters.remove(n);
+                    self.chains.unknown.remove(n);
+                }
+            }
+        }
+        self.chains.orphans.remove(id);
+        self.chains.unread.remove(id);
+        if self.chains.waiters.contains_key(id) {
+            match self.users.ended.get(id) {
+                Some(end) => self.need_ended(id, end),
+                None => {
+                    self.chains.unknown.entry(id.clone()).or_default();
+                }
+            }
+        }
+    }
+
+    /// The store holds this end of a job that others wait for.
+    fn need_ended(&mut self, need: &JobId, end: EndRecord) {
+        self.chains.unknown.remove(need);
+        for id in self.chains.waiters.remove(need).unwrap_or_default() {
+            if end.cancelled {
+                self.orphaned(&id, need);
+            } else if let Some(j) = self.jobs.get_mut(&id) {
+                j.chain.needs.remove(need);
+                self.released(&id);
+            }
+        }
+    }
+
+    fn orphaned(&mut self, id: &JobId, of: &JobId) {
+        let Some(j) = self.jobs.get(id) else { return };
+        let wait = if self.shares[j.share].is_some() { Micros::ZERO } else { OTHERS_AFTER };
+        let orphan = Orphan { of: of.clone(), busy: false, at: self.now + wait, alone: false };
+        self.chains.orphans.entry(id.clone()).or_insert(orphan);
+    }
+
+    /// If nothing that it needs is missing any more, it may start.
+    fn released(&mut self, id: &JobId) {
+        let wall = self.wall;
+        let Some(j) = self.jobs.get_mut(id).filter(|j| !j.chain.waits()) else { return };
+        if j.chain.ready.is_none() {
+            j.chain.ready = Some(wall);
+            info!(job = %id, "all that it needs is done");
+        }
+        self.tell_share(id);
+    }
+
+    pub(crate) fn tell_share(&mut self, id: &JobId) {
+        let Some(j) = self.jobs.get(id) else { return };
+        let (spec, waits, share) = (j.spec_now(), j.chain.waits(), j.share);
+        let now = self.now;
+        self.with_share(share, |s, _| {
+            if s.phase == SharePhase::Ready {
+                s.chained(id, spec, waits, now);
+            }
+        });
+    }
+
+    /// What a job that waits asks of those that it needs, directly or through others: its priority, and that they
+    /// are done in time for all that follows them.
+    pub(crate) fn urge(&mut self, id: &JobId) {
+        let mut todo = vec![id.clone()];
+        while let Some(id) = todo.pop() {
+            let Some(j) = self.jobs.get(&id).filter(|j| j.chain.waits()) else { continue };
+            let due = j.due().map(|d| d - j.spec.estimate - STEP);
+            let (priority, needs) = (j.priority(), j.chain.needs.clone());
+            for n in needs {
+                let Some(need) = self.jobs.get_mut(&n) else { continue };
+                let before = need.chain.urgency;
+                let (p, d) = before.unwrap_or((need.spec.priority, None));
+                let after = Some((p.min(priority), d.into_iter().chain(due).min()));
+                if after != before {
+                    need.chain.urgency = after;
+                    self.tell_share(&n);
+                    todo.push(n);
+                }
+            }
+        }
+    }
+
+    // ---- questions and cancellations -------------------------------------------------------
+
+    pub(crate) fn chains_tick(&mut self) {
+        let now = self.now;
+        let due = |a: &Asked| !a.busy && a.at <= now;
+        let asking = self.chains.unknown.values().filter(|a| a.busy).count();
+        let ask: Vec<JobId> = self
+            .chains
+            .unknown
+            .iter()
+            .filter(|a| due(a.1))
+            .map(|a| a.0.clone())
+            .take(ASKED_MAX.saturating_sub(asking))
+            .collect();
+        for id in ask {
+            self.chains.unknown.insert(id.clone(), Asked { busy: true, at: now });
+            self.state(StateCall::Get { key: end_key(&id) }, Pending::NeedEnd { id });
+        }
+        let read: Vec<JobId> = self.chains.unread.iter().filter(|a| due(a.1)).map(|a| a.0.clone()).take(2).collect();
+        for id in read {
+            let Some(version) = self.jobs.get(&id).map(|j| j.version) else { continue };
+            self.chains.unread.insert(id.clone(), Asked { busy: true, at: now });
+            let request = StateCall::List { prefix: needs_prefix(&id), after: None };
+            self.state(request, Pending::NeedsRead { id, version, got: Vec::new() });
+        }
+        let most = (self.cfg.txn_ops / 2).clamp(1, 16);
+        let mut together = Vec::new();
+        let mut batches: Vec<Vec<JobId>> = Vec::new();
+        for (id, o) in self.chains.orphans.iter_mut().filter(|o| !o.1.busy && o.1.at <= now).take(most * 2) {
+            o.busy = true;
+            if o.alone {
+                batches.push(vec![id.clone()]);
+            } else {
+                together.push(id.clone());
+            }
+        }
+        batches.extend(together.chunks(most).map(<[JobId]>::to_vec));
+        for ids in batches {
+            self.cancel_orphans(ids);
+        }
+    }
+
+    fn cancel_orphans(&mut self, ids: Vec<JobId>) {
+        let (mut when, mut apply) = (Vec::new(), Vec::new());
+        for id in &ids {
+            let Some(j) = self.jobs.get(id) else { continue };
+            when.push((job_key(id), j.version));
+            when.push((end_key(id), 0));
+            let end = EndRecord { cancelled: true, tasks: j.spec.tasks };
+            let value = serde_json::to_value(end).unwrap_or_default();
+            apply.push(Write::Put { key: end_key(id), value, lease: None });
+            apply.push(Write::Delete { key: job_key(id) });
+        }
+        if !apply.is_empty() {
+            self.state(StateCall::Commit { when, apply }, Pending::Orphans { ids });
+        }
+    }
+
+    pub(crate) fn orphans_reply(&mut self, ids: &[JobId], reply: &StateReply) {
+        for id in ids {
+            let Some(j) = self.jobs.get(id) else { continue };
+            let tasks = j.spec.tasks;
+            if let StateReply::Committed { .. } = reply {
+                let of = self.chains.orphans.get(id).map(|o| o.of.to_string()).unwrap_or_default();
+                info!(job = %id, needs = %of, "cancelled with a job that it needs");
+                self.users.ended.insert(id, EndRecord { cancelled: true, tasks });
+                self.job_vanished(id);
+            } else if let Some(o) = self.chains.orphans.get_mut(id) {
+                // One that has ended meanwhile must not keep the others from it; the view will show it.
+                o.alone |= matches!(reply, StateReply::Conflict { .. });
+                (o.busy, o.at) = (false, self.now + AGAIN);
+            }
+        }
+    }
+
+    pub(crate) fn need_end_reply(&mut self, id: &JobId, reply: StateReply) {
+        let Some(asked) = self.chains.unknown.get_mut(id) else { return };
+        (asked.busy, asked.at) = (false, self.now + AGAIN);
+        match reply {
+            StateReply::Entry(e) => match serde_json::from_value::<EndRecord>(e.value) {
+                Ok(end) => {
+                    self.users.ended.insert(id, end);
+                    self.need_ended(id, end);
+                }
+                Err(e) => warn!(job = %id, %e, "unreadable end of a job"),
+            },
+            // Accepted a moment ago by another controller: the view will show it.
+            StateReply::Missing if self.jobs.contains_key(id) => {
+                self.chains.unknown.remove(id);
+            }
+            _ => {}
+        }
+    }
+
+    // ---- answers about jobs that wait --------------------------------------------------------
+
+    /// Nobody may be told that a job waits once one that it needs has been cancelled. The view is made as new as the
+    /// confirmation; what is still open then is not known yet.
+    pub(crate) fn answer_waiting(&mut self, polls: Vec<(ReplyTo, JobId)>, revision: u64) {
+        if polls.is_empty() {
+            return;
+        }
+        let view = &self.link.watches[0];
+        if view.loaded && view.seen < revision {
+            self.users.in_flight += polls.len();
+            let request = StateCall::Changes { prefix: "job/".to_owned(), after: view.seen, hold: Micros::ZERO };
+            return self.state(request, Pending::Refresh { polls, revision });
+        }
+        for (to, id) in polls {
+            let mut seen = BTreeSet::new();
+            if self.users.ended.get(&id).is_some() || self.nothing_cancelled(&id, &mut seen) {
+                self.answer_live(to, &id, false);
+            } else {
+                self.later(to);
+            }
+        }
+    }
+
+    pub(crate) fn refresh_reply(&mut self, polls: Vec<(ReplyTo, JobId)>, revision: u64, reply: StateReply) {
+        self.users.in_flight -= polls.len();
+        let new = self.apply_changes(0, reply);
+        if new && self.link.watches[0].loaded && self.link.watches[0].seen >= revision {
+            return self.answer_waiting(polls, revision);
+        }
+        for (to, _) in polls {
+            self.later(to);
+        }
+    }
+
+    /// All that it needs, directly or through others, is live in the view or known to be done.
+    fn nothing_cancelled(&self, id: &JobId, seen: &mut BTreeSet<JobId>) -> bool {
+        let mut todo = vec![id.clone()];
+        while let Some(id) = todo.pop() {
+            let Some(j) = self.jobs.get(&id).filter(|j| !j.chain.unread) else { return false };
+            if self.chains.orphans.contains_key(&id) {
+                return false;
+            }
+            todo.extend(j.chain.needs.iter().filter(|n| seen.insert((*n).clone())).cloned());
+        }
+        true
+    }
+}
--- a/crates/seamfront-core/src/engine.rs
+++ b/crates/seamfront-core/src/engine.rs
@@ -1,6 +1,7 @@
 //! The one owner of all state of a controller. Commands come in batches, effects go out; time is
 //! given, never asked for. Same commands, same times, same effects.
 
+use crate::chains::{Chain, Chains};
 use crate::fleet::MachineRecord;
 use crate::leader::{Leader, LeaderCall};
 use crate::link::Link;
@@ -18,6 +19,7 @@
     /// Version of `job/<id>`, which is written once only.
     pub version: u64,
     pub share: usize,
+    pub chain: Chain,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -45,8 +47,15 @@
     Records { share: usize, version: u64 },
     Share { share: usize, version: u64, writes: Vec<ShareWrite> },
     Submit { batch: Vec<(ReplyTo, Rc<JobSpec>)> },
-    Doubt { to: ReplyTo, spec: Rc<JobSpec>, end: bool },
+    Doubt { to: ReplyTo, spec: Rc<JobSpec>, why: String, end: bool },
+    NeedKnown { to: ReplyTo, spec: Rc<JobSpec>, left: Vec<JobId>, end: bool },
+    NeedsWritten { to: ReplyTo, spec: Rc<JobSpec>, parts: Vec<Vec<JobId>>, next: usize },
+    SubmitCancelled { to: ReplyTo, spec: Rc<JobSpec> },
+    NeedsRead { id: JobId, version: u64, got: Vec<Entry> },
+    NeedEnd { id: JobId },
+    Orphans { ids: Vec<JobId> },
     Confirm { polls: Vec<(ReplyTo, JobId)> },
+    Refresh { polls: Vec<(ReplyTo, JobId)>, revision: u64 },
     LookUp { to: ReplyTo, id: JobId, wish: Wish },
     LookUpEnd { to: ReplyTo, id: JobId },
     Cancel { to: ReplyTo, id: JobId, end: EndRecord },
@@ -73,6 +82,7 @@
     /// cancellations as new.
     pub(crate) proven: Vec<Option<Micros>>,
     pub(crate) users: Users,
+    pub(crate) chains: Chains,
     pub(crate) types: Vec<MachineType>,
     types_busy: bool,
     types_next: Micros,
@@ -112,6 +122,7 @@
             leader: None,
             proven: vec![None; n + 1],
             users: Users::default(),
+            chains: Chains::default(),
             types: Vec::new(),
             types_busy: false,
             types_next: Micros::ZERO,
@@ -179,6 +190,7 @@
         }
         self.fill_write_budget();
         self.leader_tick();
+        self.chains_tick();
         self.users_flush();
         self.flush_writes();
         for k in 0..self.shares.len() {
@@ -252,7 +264,14 @@
             Pending::Records { share, version } => self.records_reply(share, version, reply),
             Pending::Share { share, version, writes } => self.share_reply(share, version, &writes, &reply),
             Pending::Submit { batch } => self.submit_reply(batch, reply),
-            Pending::Doubt { to, spec, end } => self.doubt_reply(to, spec, end, reply),
+            Pending::Doubt { to, spec, why, end } => self.doubt_reply(to, spec, why, end, reply),
+            Pending::NeedKnown { to, spec, left, end } => self.need_known_reply(to, spec, left, end, reply),
+            Pending::NeedsWritten { to, spec, parts, next } => self.needs_written(to, spec, parts, next, &reply),
+            Pending::SubmitCancelled { to, spec } => self.submit_cancelled_reply(to, &spec, &reply),
+            Pending::NeedsRead { id, version, got } => self.needs_read(id, version, got, reply),
+            Pending::NeedEnd { id } => self.need_end_reply(&id, reply),
+            Pending::Orphans { ids } => self.orphans_reply(&ids, &reply),
+            Pending::Refresh { polls, revision } => self.refresh_reply(polls, revision, reply),
             Pending::Confirm { polls } => self.confirm_reply(polls, reply),
             Pending::LookUp { to, id, wish } => self.look_up_reply(to, id, wish, reply),
             Pending::LookUpEnd { to, id } => self.look_up_end_reply(to, id, reply),
@@ -443,8 +462,11 @@
                 continue;
             }
             let now = self.now;
-            let ready =
-                |s: &mut Share| if s.phase == SharePhase::Ready { s.writes(now, budget.min(most)) } else { Vec::new() };
+            let bytes = self.cfg.value_bytes;
+            let ready = |s: &mut Share| match s.phase {
+                SharePhase::Ready => s.writes(now, budget.min(most), bytes),
+                _ => Vec::new(),
+            };
             let Some((version, writes)) = self.with_share(k, |s, _| (s.version, ready(s))) else { continue };
             let mut records = Vec::new();
             let mut bytes = 0;
@@ -554,8 +576,7 @@
             };
             if let (ShareWrite::End { job, tasks, .. }, WriteOutcome::Done(_)) = (w, outcome) {
                 self.users.ended.insert(job, EndRecord { cancelled: false, tasks: *tasks });
-                self.users.progress.remove(job);
-                self.jobs.remove(job);
+                self.job_over(job);
             }
             self.with_share(k, |s, ctx| s.written(ctx, w, outcome));
         }
--- a/crates/seamfront-core/src/job.rs
+++ b/crates/seamfront-core/src/job.rs
@@ -104,6 +104,9 @@
     /// Version of `job/<id>`.
     pub version: u64,
     pub ending: Option<Ending>,
+    /// Waits for other jobs to be done: nothing of it may be placed, and it holds no part of its team's limit or
+    /// guarantee.
+    pub waits: bool,
     pub record: RecordState,
     /// Attempt numbers are never used twice within a job; for gangs the epoch serves.
     pub next_attempt: u64,
@@ -130,6 +133,7 @@
             spec,
             version,
             ending: None,
+            waits: false,
             record: RecordState { version: Some(0), ..Default::default() },
             next_attempt: 1,
             done: Ranges::default(),
@@ -164,7 +168,7 @@
 
     /// Tasks neither done nor placed.
     pub fn unplaced(&self) -> u32 {
-        if !self.live() {
+        if !self.live() || self.waits {
             return 0;
         }
         self.spec.tasks - self.done.count() - self.tasks.len() as u32
@@ -184,11 +188,24 @@
         a
     }
 
-    /// How many more tasks may be placed before the record could outgrow a value.
+    /// How many more tasks may be placed before the record could outgrow a value. What is placed is counted as it
+    /// is written, a run of tasks on a machine at a time; what is to come as if each task had a machine of its own.
     pub fn record_room(&self, value_bytes: usize) -> u32 {
-        let per_task = 24 + 40;
-        let used = 400 + self.done.pieces() * 14 + self.tasks.len() * per_task;
-        (value_bytes.saturating_sub(used) / per_task) as u32
+        let digits = |n: u64| n.checked_ilog10().unwrap_or(0) as usize + 1;
+        let run = 5 + 2 * digits(u64::from(self.spec.tasks)) + digits(self.next_attempt + 1);
+        let mut used = 200 + self.spec.team.len() + self.done.pieces() * (run + 1);
+        if let Some(g) = &self.gang {
+            used += g.attempts.iter().filter(|a| **a > 0).count() * run;
+        }
+        let mut longest = 12;
+        let mut before: Option<(&MachineId, u32, u64)> = None;
+        for (i, p) in &self.tasks {
+            let (name, new) = (p.machine.as_str().len(), before != Some((&p.machine, *i, p.attempt)));
+            used += if new { run + name + 6 } else { 0 };
+            longest = longest.max(name);
+            before = Some((&p.machine, *i + 1, p.attempt));
+        }
+        (value_bytes.saturating_sub(used) / (run + longest + 6)) as u32
     }
 
     pub fn running(&self) -> u32 {
--- a/crates/seamfront-core/src/leader.rs
+++ b/crates/seamfront-core/src/leader.rs
@@ -107,7 +107,7 @@
 pub enum LeaderCall {
     Rents { entries: Vec<Entry> },
     RecordRent { name: String },
-    SettleRent { name: String },
+    SettleRent { name: String, ids: Vec<MachineId>, last: bool },
     Machines { ids: Vec<MachineId> },
     Forget { ids: Vec<MachineId> },
     TypesWritten,
@@ -209,13 +209,17 @@
         }
     }
 
-    /// One transaction gives the machines their records and forgets the request.
+    /// Transactions give the machines their records, and the last one forgets the request: what a former leader
+    /// rented may be more than one takes.
     fn settle_rent(&mut self, name: &str) {
         let now = self.now;
         let known = &self.machines;
         let Some(r) = self.leader.as_mut().and_then(|l| l.rents.get_mut(name)) else { return };
         r.retry_at = now + Micros::from_secs(3);
-        let new: Vec<MachineId> = r.got.iter().filter(|id| !known.contains_key(id)).cloned().collect();
+        let mut new: Vec<MachineId> = r.got.iter().filter(|id| !known.contains_key(id)).cloned().collect();
+        let most = self.cfg.txn_ops.saturating_sub(1).max(1);
+        let last = new.len() <= most;
+        new.truncate(most);
         let record = MachineRecord {
             share: Some(r.record.share),
             kind: r.record.kind.clone(),
@@ -226,8 +230,10 @@
         let when = new.iter().map(|id| (machine_key(id), 0)).collect();
         let mut apply: Vec<Write> =
             new.iter().map(|id| Write::Put { key: machine_key(id), value: value.clone(), lease: None }).collect();
-        apply.push(Write::Delete { key: format!("rent/{name}") });
-        self.leader_commit(when, apply, LeaderCall::SettleRent { name: name.to_owned() });
+        if last {
+            apply.push(Write::Delete { key: format!("rent/{name}") });
+        }
+        self.leader_commit(when, apply, LeaderCall::SettleRent { name: name.to_owned(), ids: new, last });
     }
 
     fn deletes_tick(&mut self) {
@@ -508,7 +514,13 @@
                     l.rents.remove(&name);
                 }
             },
-            LeaderCall::SettleRent { name } => match reply {
+            LeaderCall::SettleRent { name, ids, last } => match reply {
+                StateReply::Committed { .. } if !last => {
+                    if let Some(r) = l.rents.get_mut(&name) {
+                        r.got.retain(|id| !ids.contains(id));
+                        r.retry_at = now;
+                    }
+                }
                 StateReply::Committed { .. } => {
                     if let Some(r) = l.rents.remove(&name) {
                         debug!(name, machines = r.got.len(), "request settled");
--- a/crates/seamfront-core/src/lib.rs
+++ b/crates/seamfront-core/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod capacity;
+pub mod chains;
 pub mod engine;
 pub mod fleet;
 pub mod gang;
--- a/crates/seamfront-core/src/link.rs
+++ b/crates/seamfront-core/src/link.rs
@@ -231,7 +231,7 @@
     }
 
     /// True if the view is now as new as the answer.
-    fn apply_changes(&mut self, k: usize, reply: StateReply) -> bool {
+    pub(crate) fn apply_changes(&mut self, k: usize, reply: StateReply) -> bool {
         match reply {
             StateReply::Changes { revision, events } => {
                 let seen = self.link.watches[k].seen;
@@ -607,8 +607,9 @@
                 Err(err) => warn!(job = %id, %err, "unreadable work record"),
             }
         }
-        for j in self.jobs.values().filter(|j| j.share == slot) {
+        for (id, j) in self.jobs.iter().filter(|j| j.1.share == slot) {
             share.add_job(j.spec.clone(), j.version, now);
+            share.chained(id, j.spec_now(), j.chain.waits(), now);
         }
         // A machine that is being returned is there until its record is removed, and so is what the
         // former holder placed on it. One that is another share's by now was let go empty.
--- a/crates/seamfront-core/src/quota.rs
+++ b/crates/seamfront-core/src/quota.rs
@@ -46,7 +46,7 @@
 /// Jobs that lie within their team's guarantee together with the team's earlier unfinished jobs.
 /// A resource that the guarantee does not name is not measured; one that it names must be used.
 pub fn guaranteed<'a>(teams: &[Team], jobs: impl Iterator<Item = &'a Job>) -> BTreeSet<JobId> {
-    let mut by_age: Vec<&Job> = jobs.filter(|j| j.live()).collect();
+    let mut by_age: Vec<&Job> = jobs.filter(|j| j.live() && !j.waits).collect();
     by_age.sort_by(|a, b| (a.spec.submitted, &a.spec.id).cmp(&(b.spec.submitted, &b.spec.id)));
     let mut sums: BTreeMap<&str, Amounts> = BTreeMap::new();
     let mut inside = BTreeSet::new();
--- a/crates/seamfront-core/src/share.rs
+++ b/crates/seamfront-core/src/share.rs
@@ -147,6 +147,17 @@
         self.dirty = true;
     }
 
+    /// Whether a job waits for others to be done, and what it asks for as things stand: how important it is and
+    /// until when it must be done also follow from the jobs that need it.
+    pub fn chained(&mut self, id: &JobId, spec: Rc<JobSpec>, waits: bool, now: Micros) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.waits && !waits {
+            job.waiting_since = now;
+        }
+        (job.spec, job.waits) = (spec, waits);
+        self.dirty = true;
+    }
+
     /// Takes over a record of the former holder's. A job that has ended since (it is missing from
     /// the view of live jobs, which is newer than the claim) is only cleared away.
     pub fn adopt_record(
@@ -881,7 +892,7 @@
     /// Up to `budget` writes that are due now: what somebody waits for comes first, and of that what
     /// waits for longest. The engine makes them under this share's claim and reports back through
     /// [`Share::written`].
-    pub fn writes(&mut self, now: Micros, budget: usize) -> Vec<ShareWrite> {
+    pub fn writes(&mut self, now: Micros, budget: usize, value_bytes: usize) -> Vec<ShareWrite> {
         let mut out = Vec::new();
         let look = now >= self.machine_writes_next;
         self.look(if look { self.machines.len() } else { 0 } + self.jobs.len());
@@ -941,6 +952,12 @@
                 }
                 (Some(v), Some(_)) => ShareWrite::DropRecord { job: id, version: v },
                 (Some(v), None) => match serde_json::to_value(job.to_record()) {
+                    // Written by a former holder for a store that took more: nothing is placed for it until enough
+                    // of it has gone. The old record names all that is placed meanwhile.
+                    Ok(value) if value.to_string().len() > value_bytes => {
+                        job.record.in_flight = false;
+                        continue;
+                    }
                     Ok(value) => ShareWrite::Record { job: id, gen: job.record.gen, version: v, value },
                     Err(_) => continue,
                 },
@@ -1059,6 +1076,8 @@
         save: Micros::ZERO,
         deadline: None,
         submitted: Micros::ZERO,
+        needs: Vec::new(),
+        needs_parts: 0,
     }
 }
 
--- a/crates/seamfront-core/src/types.rs
+++ b/crates/seamfront-core/src/types.rs
@@ -260,6 +260,16 @@
     pub deadline: Option<Micros>,
     /// Time of day of the first acceptance, so that order and deadlines outlive a controller.
     pub submitted: Micros,
+    /// Jobs that must be done before any task of it starts.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub needs: Vec<JobId>,
+    /// How many more parts of that list stand under keys of their own: see [`crate::chains`].
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub needs_parts: u32,
+}
+
+fn is_zero(n: &u32) -> bool {
+    *n == 0
 }
 
 impl JobSpec {
--- a/crates/seamfront-core/src/users.rs
+++ b/crates/seamfront-core/src/users.rs
@@ -17,6 +17,11 @@
     pub tasks: u32,
 }
 
+/// Whether a job's record names jobs that it needs.
+fn has_needs(record: &serde_json::Value) -> bool {
+    record.get("needs").is_some()
+}
+
 pub fn job_key(id: &JobId) -> String {
     format!("job/{id}")
 }
@@ -67,7 +72,7 @@
     pub ended: Ended,
     /// Display counts as the jobs' holders told them.
     pub progress: BTreeMap<JobId, (u32, u32)>,
-    in_flight: usize,
+    pub(crate) in_flight: usize,
     confirm_next: Micros,
 }
 
@@ -78,12 +83,12 @@
         self.answer(to, Answer::Later { after: COME_BACK });
     }
 
-    fn answer_end(&mut self, to: ReplyTo, id: &JobId, end: EndRecord) {
+    pub(crate) fn answer_end(&mut self, to: ReplyTo, id: &JobId, end: EndRecord) {
         let (state, done) = if end.cancelled { (ShownState::Cancelled, 0) } else { (ShownState::Done, end.tasks) };
         self.answer(to, Answer::Status { created: false, id: id.clone(), state, done, running: 0 });
     }
 
-    fn answer_live(&mut self, to: ReplyTo, id: &JobId, created: bool) {
+    pub(crate) fn answer_live(&mut self, to: ReplyTo, id: &JobId, created: bool) {
         // It may have ended here while the store was asked.
         if let Some(end) = self.users.ended.get(id) {
             return self.answer_end(to, id, end);
@@ -122,11 +127,16 @@
             return self.later(to);
         }
         spec.submitted = self.wall;
-        self.users.submits.push_back((to, Rc::new(spec)));
+        self.check_needs(to, Rc::new(spec));
+    }
+
+    /// What it needs is known: it can be created.
+    pub(crate) fn submit_checked(&mut self, to: ReplyTo, spec: Rc<JobSpec>) {
+        self.users.submits.push_back((to, spec));
     }
 
     /// Why a job can never run here.
-    fn impossible(&self, spec: &JobSpec) -> Option<String> {
+    pub(crate) fn impossible(&self, spec: &JobSpec) -> Option<String> {
         let Some(team) = self.cfg.team(&spec.team) else {
             return Some("equipe: unknown team".to_owned());
         };
@@ -200,7 +210,7 @@
 
     /// Asks the store. The job first, then its end: whoever ends a job removes the one and writes
     /// the other in one transaction, so this order can't miss both.
-    fn look_up(&mut self, to: ReplyTo, id: JobId, wish: Wish) {
+    pub(crate) fn look_up(&mut self, to: ReplyTo, id: JobId, wish: Wish) {
         self.users.in_flight += 1;
         self.state(StateCall::Get { key: job_key(&id) }, Pending::LookUp { to, id, wish });
     }
@@ -209,6 +219,8 @@
         self.users.in_flight -= 1;
         match reply {
             StateReply::Entry(e) => match wish {
+                // What became of the jobs that it needs is known once the view shows it.
+                Wish::Poll if has_needs(&e.value) && !self.jobs.contains_key(&id) => self.later(to),
                 Wish::Poll => self.answer_live(to, &id, false),
                 Wish::Cancel => {
                     let tasks = serde_json::from_value::<JobSpec>(e.value).map_or(0, |s| s.tasks);
@@ -250,7 +262,10 @@
                     self.later(to);
                     continue;
                 }
-                bytes += 600 + spec.types.iter().flatten().map(|t| t.len() + 4).sum::<usize>() + spec.image.len();
+                bytes += 600
+                    + spec.needs.iter().map(|n| n.as_str().len() + 3).sum::<usize>()
+                    + spec.types.iter().flatten().map(|t| t.len() + 4).sum::<usize>()
+                    + spec.image.len();
                 batch.push((to, spec));
                 if batch.len() >= room || bytes > 40_000 {
                     break;
@@ -289,11 +304,8 @@
     fn send_submits(&mut self, batch: Vec<(ReplyTo, Rc<JobSpec>)>) {
         let (mut when, mut apply, mut sent) = (Vec::new(), Vec::new(), Vec::new());
         for (to, spec) in batch {
-            if self.impossible(&spec).is_some() {
-                // An accepted job's repetition never gets 422: the store says whether it is known.
-                self.users.in_flight += 1;
-                let id = spec.id.clone();
-                self.state(StateCall::Get { key: job_key(&id) }, Pending::Doubt { to, spec, end: false });
+            if let Some(why) = self.impossible(&spec) {
+                self.doubt(to, spec, why);
                 continue;
             }
             when.push((job_key(&spec.id), 0));
@@ -308,11 +320,18 @@
         }
     }
 
+    /// An accepted job's repetition never gets 422: the store says whether it is known.
+    pub(crate) fn doubt(&mut self, to: ReplyTo, spec: Rc<JobSpec>, why: String) {
+        self.users.in_flight += 1;
+        let key = job_key(&spec.id);
+        self.state(StateCall::Get { key }, Pending::Doubt { to, spec, why, end: false });
+    }
+
     /// A job that can never run, unless it is known already (settings may have changed since).
-    pub(crate) fn doubt_reply(&mut self, to: ReplyTo, spec: Rc<JobSpec>, end: bool, reply: StateReply) {
+    pub(crate) fn doubt_reply(&mut self, to: ReplyTo, spec: Rc<JobSpec>, why: String, end: bool, reply: StateReply) {
         self.users.in_flight -= 1;
         match reply {
-            StateReply::Entry(_) if !end => self.answer_live(to, &spec.id, false),
+            StateReply::Entry(_) if !end => self.look_up(to, spec.id.clone(), Wish::Poll),
             StateReply::Entry(e) => match serde_json::from_value::<EndRecord>(e.value) {
                 Ok(record) => self.answer_end(to, &spec.id, record),
                 Err(_) => self.later(to),
@@ -320,12 +339,9 @@
             StateReply::Missing if !end => {
                 self.users.in_flight += 1;
                 let key = end_key(&spec.id);
-                self.state(StateCall::Get { key }, Pending::Doubt { to, spec, end: true });
-            }
-            StateReply::Missing => {
-                let why = self.impossible(&spec).unwrap_or_default();
-                self.answer(to, Answer::Impossible { why });
+                self.state(StateCall::Get { key }, Pending::Doubt { to, spec, why, end: true });
             }
+            StateReply::Missing => self.answer(to, Answer::Impossible { why }),
             _ => self.later(to),
         }
     }
@@ -364,10 +380,13 @@
     pub(crate) fn confirm_reply(&mut self, polls: Vec<(ReplyTo, JobId)>, reply: StateReply) {
         self.users.in_flight -= polls.len();
         match reply {
-            StateReply::Committed { .. } => {
-                for (to, id) in polls {
+            StateReply::Committed { revision } => {
+                let (waiting, rest): (Vec<_>, Vec<_>) =
+                    polls.into_iter().partition(|p| self.jobs.get(&p.1).is_some_and(|j| j.chain.waits()));
+                for (to, id) in rest {
                     self.answer_live(to, &id, false);
                 }
+                self.answer_waiting(waiting, revision);
             }
             StateReply::Conflict { failed } => {
                 for (to, id) in polls {
@@ -395,17 +414,29 @@
         if self.users.ended.get(&id).is_some() || self.jobs.get(&id).is_some_and(|j| j.version >= version) {
             return;
         }
-        self.jobs.insert(id, LiveJob { spec: spec.clone(), version, share });
+        self.jobs.insert(id.clone(), LiveJob { spec: spec.clone(), version, share, chain: Default::default() });
+        let waits = self.chain_appeared(&id);
         if let Some(s) = self.shares[share].as_mut() {
             if s.phase == crate::share::SharePhase::Ready {
                 s.add_job(spec, version, self.now);
+                if waits {
+                    self.tell_share(&id);
+                }
             }
         }
+        self.urge(&id);
     }
 
-    pub(crate) fn job_vanished(&mut self, id: &JobId) {
-        let Some(j) = self.jobs.remove(id) else { return };
+    /// It has ended and is live no more. Its share, where it is ours, knows by itself.
+    pub(crate) fn job_over(&mut self, id: &JobId) -> Option<LiveJob> {
+        let j = self.jobs.remove(id)?;
         self.users.progress.remove(id);
+        self.chain_over(id, &j);
+        Some(j)
+    }
+
+    pub(crate) fn job_vanished(&mut self, id: &JobId) {
+        let Some(j) = self.job_over(id) else { return };
         self.with_share(j.share, |s, ctx| s.job_ended(ctx, id));
     }
 }
--- a/crates/seamfront-core/tests/placement.rs
+++ b/crates/seamfront-core/tests/placement.rs
@@ -29,6 +29,8 @@
         save: Micros::ZERO,
         deadline: None,
         submitted: Micros::ZERO,
+        needs: vec![],
+        needs_parts: 0,
     }
 }
 
--- a/crates/seamfront-core/tests/world/workers.rs
+++ b/crates/seamfront-core/tests/world/workers.rs
@@ -181,6 +181,10 @@
         if self.cancelled.get(&key.job).is_some_and(|t| now - *t > self.cancel) {
             bad.push(format!("ran_cancelled: {key} started"));
         }
+        let done = |n: &JobId| self.completed.get(n).map_or(0, |c| c.len() as u32) == self.jobs[n].tasks;
+        if let Some(n) = spec.needs.iter().find(|n| !done(n)) {
+            bad.push(format!("too_early: {key} started before {n} was done"));
+        }
         let team = self.teams.iter().find(|t| t.name == spec.team).unwrap();
         let mut used = Amounts::default();
         let limited = team.limit.cpus > 0 || team.limit.gpus > 0;
@@ -194,6 +198,20 @@
         self.broken.extend(bad.into_iter().map(|b| format!("{:.3} {b}", now.as_secs_decimal())));
     }
 
+    /// Since when a user has known that a job which this one needs, directly or through others, is cancelled.
+    pub fn called_off(&self, id: &JobId) -> Option<Micros> {
+        let mut since: Option<Micros> = None;
+        let mut seen = BTreeSet::new();
+        let mut todo = vec![id.clone()];
+        while let Some(id) = todo.pop() {
+            for n in self.jobs[&id].needs.iter().filter(|n| seen.insert((*n).clone())) {
+                since = since.into_iter().chain(self.cancelled.get(n).copied()).min();
+                todo.push(n.clone());
+            }
+        }
+        since
+    }
+
     /// Everything that happens at workers by itself.
     pub fn advance(&mut self, now: Micros, work: impl Fn(&JobSpec) -> Micros) {
         let ids: Vec<MachineId> = self.workers.keys().cloned().collect();
--- a/crates/seamfront/src/settings.rs
+++ b/crates/seamfront/src/settings.rs
@@ -100,6 +100,31 @@
     write_rps: f64,
     value_kb: f64,
     txn_ops: i64,
+    /// Limits that the state service will have from some moment on, without notice.
+    #[serde(default)]
+    next: FileStateNext,
+}
+
+#[derive(Default, Deserialize)]
+struct FileStateNext {
+    rps: Option<f64>,
+    write_rps: Option<f64>,
+    value_kb: Option<f64>,
+    txn_ops: Option<i64>,
+}
+
+impl FileState {
+    /// The smaller of what holds now and what will: these hold at any time.
+    fn at_any_time(&self) -> FileState {
+        let least = |now: f64, next: Option<f64>| next.map_or(now, |n| n.min(now));
+        FileState {
+            rps: least(self.rps, self.next.rps),
+            write_rps: least(self.write_rps, self.next.write_rps),
+            value_kb: least(self.value_kb, self.next.value_kb),
+            txn_ops: self.next.txn_ops.map_or(self.txn_ops, |n| n.min(self.txn_ops)),
+            next: FileStateNext::default(),
+        }
+    }
 }
 
 #[derive(Deserialize)]
@@ -175,6 +200,7 @@
         });
     }
     let p = &file.params;
+    let state = p.state.at_any_time();
     let mut objectives = Vec::new();
     for o in &p.objectives {
         // Other kinds may come; what names no class or no time tells a scheduler nothing here.
@@ -191,8 +217,8 @@
             });
         }
     }
-    if !(1..=10_000).contains(&p.state.txn_ops) {
-        return Err(invalid("params.state.txn_ops", "must be from 1 to 10000"));
+    if !(4..=10_000).contains(&state.txn_ops) {
+        return Err(invalid("params.state.txn_ops", "must be from 4 to 10000"));
     }
     if p.limits.fd_limit < 64 {
         return Err(invalid("params.limits.fd_limit", "must be at least 64"));
@@ -207,10 +233,10 @@
         gang_wait: secs("params.workers.gang_wait_s", p.workers.gang_wait_s)?,
         gang_peer: secs("params.workers.gang_peer_s", p.workers.gang_peer_s)?,
         cancel: secs("params.workers.cancel_s", p.workers.cancel_s)?,
-        state_rps: count("params.state.rps", p.state.rps)?,
-        write_rps: count("params.state.write_rps", p.state.write_rps)?,
-        value_bytes: (count("params.state.value_kb", p.state.value_kb)? as usize) * 1024,
-        txn_ops: p.state.txn_ops as usize,
+        state_rps: count("params.state.rps", state.rps)?,
+        write_rps: count("params.state.write_rps", state.write_rps)?,
+        value_bytes: (count("params.state.value_kb", state.value_kb * 1024.0)?) as usize,
+        txn_ops: state.txn_ops as usize,
         cloud_rps: count("params.cloud.rps", p.cloud.rps)?,
         list_lag: secs("params.cloud.list_lag_s", p.cloud.list_lag_s)?,
         tuning: ini_text.map_or(Ok(Tuning::default()), tuning)?,
--- a/crates/seamfront/src/users.rs
+++ b/crates/seamfront/src/users.rs
@@ -113,9 +113,26 @@
         save: f.span("guarda_s")?,
         deadline: f.get("entrega_s").map(|_| f.span("entrega_s")).transpose()?,
         submitted: Micros::ZERO,
+        needs: needs(&f, &id)?,
+        needs_parts: 0,
     })
 }
 
+/// Jobs that have to be done first; each counts once.
+fn needs(f: &Fields, own: &str) -> Result<Vec<JobId>, String> {
+    let Some(value) = f.get("espera") else { return Ok(Vec::new()) };
+    let list = value.as_array().ok_or("espera: must be a list of job ids or null")?;
+    let mut needs = std::collections::BTreeSet::new();
+    for v in list {
+        let id = v.as_str().filter(|s| valid_id(s)).ok_or("espera: must hold job ids")?;
+        if id == own {
+            return Err("espera: names the job itself".to_owned());
+        }
+        needs.insert(JobId::from(id));
+    }
+    Ok(needs.into_iter().collect())
+}
+
 pub fn reply(answer: &Answer) -> Reply {
     match answer {
         Answer::Status { created, id, state, done, running } => {
--- a/crates/seamfront/tests/parsing.rs
+++ b/crates/seamfront/tests/parsing.rs
@@ -111,3 +111,57 @@
         assert!(e.contains(field), "{e}");
     }
 }
+
+#[test]
+fn needed_jobs_are_checked_and_count_once() {
+    let body = |espera: Value| {
+        let mut v = json!({"id":"j-7","fornada":"c","equipe":"t","feitio":"array","vez":"normal","paes":1,"cores":1.0,
+            "accelerators":0.0,"ram_gb":1.0,"receita":"i","pull_gb":1.0,"modelos":null,"praca":null,"one_zone":false,
+            "scatter":false,"emprestados":true,"assa_s":1.0,"vira_s":0.0,"guarda_s":0.0,"entrega_s":null});
+        v["espera"] = espera;
+        v.to_string()
+    };
+    let parse = |espera: Value| users::parse_submission(body(espera).as_bytes());
+    assert_eq!(parse(Value::Null).unwrap().needs, []);
+    assert_eq!(parse(json!([])).unwrap().needs, []);
+    let needs = parse(json!(["j-9", "j-8", "j-9"])).unwrap().needs;
+    assert_eq!(needs.iter().map(|n| n.as_str()).collect::<Vec<_>>(), ["j-8", "j-9"]);
+    for bad in [json!("j-8"), json!([8]), json!(["j-x"]), json!(["j-7"]), json!({"j-8": 1}), json!([null])] {
+        assert!(parse(bad.clone()).unwrap_err().contains("espera"), "{bad}");
+    }
+}
+
+/// What the state service will have from some moment on holds from the start, field by field.
+#[test]
+fn the_smaller_of_present_and_coming_limits_holds() {
+    let good = include_str!("../../../docs/settings.example.toml");
+    let with = |next: &str| settings::parse(&good.replace("[params.cloud]", &format!("{next}\n[params.cloud]")), None);
+    let now = with("").unwrap().core;
+    let s = with("[params.state.next]\nwrite_rps = 20.0\nvalue_kb = 2.0\ntxn_ops = 16\n").unwrap().core;
+    assert_eq!((s.write_rps, s.value_bytes, s.txn_ops, s.state_rps), (20, 2_048, 16, now.state_rps));
+    let s = with("[params.state.next]\nwrite_rps = 9000.0\nvalue_kb = 900.0\n").unwrap().core;
+    assert_eq!((s.write_rps, s.value_bytes, s.txn_ops), (now.write_rps, now.value_bytes, now.txn_ops));
+    assert!(with("[params.state.next]\ntxn_ops = 0\n").is_err());
+}
+
+/// What the version in production wrote, to the letter, and what it is given to read: it ignores fields that it does
+/// not know, and a job without needed jobs is written as it always was.
+#[test]
+fn records_of_the_version_in_production() {
+    use seamfront_core::job::WorkRecord;
+    let job = r#"{"id":"j-000412","class":"c","team":"t","kind":"Array","priority":"Urgent","tasks":3,"need":{"c":1000,"g":0,"r":2000},"types":null,"zone":null,"one_zone":false,"spread":false,"spot":true,"image":"i","image_mb":100,"estimate":1000000,"checkpoint":0,"save":0,"deadline":null,"submitted":17}"#;
+    let spec: seamfront_core::types::JobSpec = serde_json::from_str(job).unwrap();
+    assert!(spec.needs.is_empty());
+    let as_value = |text: &str| serde_json::from_str::<Value>(text).unwrap();
+    assert_eq!(serde_json::to_value(&spec).unwrap(), as_value(job), "written as before");
+    let work = r#"{"team":"t","need":{"c":1000,"g":0,"r":2000},"e":1,"dr":false,"a":[[0,2]],"n":7,"d":[[0,2],[4,5]],"p":{"i-000231":[[2,4,6]]},"pk":0}"#;
+    let record: WorkRecord = serde_json::from_str(work).unwrap();
+    assert_eq!(serde_json::to_value(&record).unwrap(), as_value(work));
+    let alive = r#"{"Alive":{"ready":true,"claims":[["share/0",7]],"awaited":3}}"#;
+    let message: seamfront_core::port::MeshMessage = serde_json::from_str(alive).unwrap();
+    assert_eq!(serde_json::to_value(&message).unwrap(), as_value(alive));
+    for end in [r#"{"cancelled":true,"tasks":3}"#, r#"{"cancelled":false,"tasks":3}"#] {
+        let record: seamfront_core::users::EndRecord = serde_json::from_str(end).unwrap();
+        assert_eq!(serde_json::to_value(record).unwrap(), as_value(end));
+    }
+}
