--- a/crates/seamfront-core/tests/turns.rs
+++ b/crates/seamfront-core/tests/turns.rs
@@ -93,3 +93,23 @@
     assert_eq!(free, 4_000, "room for one more like it is left where its image is");
     assert_eq!(placed(&h, "j-1"), 16, "and the rest is used");
 }
+
+/// What waits for other jobs takes no part of its team's guarantee from those that can run.
+#[test]
+fn a_waiting_job_holds_no_part_of_a_guarantee() {
+    use seamfront_core::job::Job;
+    use seamfront_core::quota::guaranteed;
+    let team = Team {
+        name: "t".into(),
+        guarantee: Amounts::offered(4.0, 0.0, 0.0),
+        limit: Amounts { cpus: 0, gpus: 0, ram: 0 },
+    };
+    let mut first = Job::new(Rc::new(array("j-0", 4, Priority::Normal, s(1))), 5, s(1));
+    let second = Job::new(Rc::new(array("j-1", 4, Priority::Normal, s(2))), 5, s(2));
+    for (waits, inside) in [(false, "j-0"), (true, "j-1")] {
+        first.waits = waits;
+        let found = guaranteed(std::slice::from_ref(&team), [&first, &second].into_iter());
+        assert_eq!(found.iter().map(|j| j.as_str()).collect::<Vec<_>>(), [inside]);
+    }
+    assert_eq!((first.unplaced(), second.unplaced()), (0, 4));
+}
