--- a/crates/seamfront-core/src/capacity.rs
+++ b/crates/seamfront-core/src/capacity.rs
@@ -167,7 +167,7 @@
         // hold all of it.
         let mut zone = need.zone.as_deref().or(need.gathering.as_deref());
         if need.zone.is_none() && zone.is_some_and(|z| !on_offer(p, need, z)) {
-            (zone, rest) = (None, need.total);
+            (zone, rest) = (None, if need.together { need.total } else { need.count });
         }
         let allowed = |kind: &str, z: &str, spot: bool| {
             (need.spot || !spot)
