--- a/crates/seamfront-core/tests/chains.rs
+++ b/crates/seamfront-core/tests/chains.rs
@@ -5,37 +5,23 @@
 mod world;
 
 use seamfront_core::types::*;
-use std::collections::BTreeMap;
 use std::ops::Range;
-use world::{history, ms, pairs, Fault, Scale, World, SMALL};
+use world::{count, ms, pairs, Fault, Reached, Scale, World, SMALL};
 
 /// Pipelines among the usual jobs, some of whose jobs are called off, with troubles.
-fn play(seeds: Range<u64>, faults: impl Fn(&mut World, i64)) -> BTreeMap<&'static str, u32> {
-    let mut reached: BTreeMap<&'static str, u32> = BTreeMap::new();
-    let soak = std::env::var("SOAK").ok().and_then(|n| n.parse().ok()).unwrap_or(1);
-    let more = (1..soak).flat_map(|k| seeds.clone().map(move |s| s + 10_000 * k));
-    for seed in seeds.clone().chain(more) {
-        let w = history(seed, |w, troubles| {
-            for k in 0..6 {
-                let at = w.draw(1_000..60_000);
-                let ids = w.pipeline(200 + 10 * k, at);
-                if w.draw(0..3) == 0 {
-                    let which = w.draw(0..ids.len() as i64) as usize;
-                    let later = w.draw(1_000..30_000);
-                    w.cancel(ms(at + later), ids[which].clone());
-                }
+fn play(seeds: Range<u64>, faults: impl Fn(&mut World, i64)) -> Reached {
+    world::play(seeds, |w, troubles| {
+        for k in 0..6 {
+            let at = w.draw(1_000..60_000);
+            let ids = w.pipeline(200 + 10 * k, at);
+            if w.draw(0..3) == 0 {
+                let which = w.draw(0..ids.len() as i64) as usize;
+                let later = w.draw(1_000..30_000);
+                w.cancel(ms(at + later), ids[which].clone());
             }
-            faults(w, troubles);
-        });
-        for (what, n) in w.reached {
-            *reached.entry(what).or_default() += n;
         }
-    }
-    reached
-}
-
-fn count(reached: &BTreeMap<&'static str, u32>, what: &str) -> u32 {
-    reached.get(what).copied().unwrap_or(0)
+        faults(w, troubles);
+    })
 }
 
 const CALLED_OFF: &str = "a job was cancelled with one that it needs";
--- a/crates/seamfront-core/tests/meetings.rs
+++ b/crates/seamfront-core/tests/meetings.rs
@@ -5,27 +5,7 @@
 mod world;
 
 use seamfront_core::types::*;
-use std::collections::BTreeMap;
-use std::ops::Range;
-use world::{history, ms, Fault, World, NODES};
-
-/// Plays the meeting with several seeds; returns how often what it is about happened in all.
-/// SOAK=20 plays twenty times as many.
-fn play(seeds: Range<u64>, faults: impl Fn(&mut World, i64)) -> BTreeMap<&'static str, u32> {
-    let mut reached: BTreeMap<&'static str, u32> = BTreeMap::new();
-    let soak = std::env::var("SOAK").ok().and_then(|n| n.parse().ok()).unwrap_or(1);
-    let more = (1..soak).flat_map(|k| seeds.clone().map(move |s| s + 10_000 * k));
-    for seed in seeds.clone().chain(more) {
-        for (what, n) in history(seed, &faults).reached {
-            *reached.entry(what).or_default() += n;
-        }
-    }
-    reached
-}
-
-fn count(reached: &BTreeMap<&'static str, u32>, what: &str) -> u32 {
-    reached.get(what).copied().unwrap_or(0)
-}
+use world::{count, ms, play, Fault, World, NODES};
 
 /// The seeded world's jobs, with something changed.
 fn submit(w: &mut World, n: u32, at: i64, change: impl Fn(&mut JobSpec)) {
--- a/crates/seamfront-core/tests/world/mod.rs
+++ b/crates/seamfront-core/tests/world/mod.rs
@@ -292,7 +292,7 @@
     /// Jobs whose last task has completed.
     ended: BTreeMap<JobId, Micros>,
     /// How often what the tests are for really happened.
-    pub reached: BTreeMap<&'static str, u32>,
+    pub reached: Reached,
     /// Who held which claim last.
     holders: BTreeMap<String, u64>,
     /// Since when a job waits though that machine has room for it.
@@ -1753,3 +1753,23 @@
         }
     }
 }
+
+/// How often what a test is about happened.
+pub type Reached = BTreeMap<&'static str, u32>;
+
+/// Plays histories with several seeds; SOAK=20 plays twenty times as many.
+pub fn play(seeds: std::ops::Range<u64>, faults: impl Fn(&mut World, i64)) -> Reached {
+    let mut reached = Reached::new();
+    let soak = std::env::var("SOAK").ok().and_then(|n| n.parse().ok()).unwrap_or(1);
+    let more = (1..soak).flat_map(|k| seeds.clone().map(move |s| s + 10_000 * k));
+    for seed in seeds.clone().chain(more) {
+        for (what, n) in history(seed, &faults).reached {
+            *reached.entry(what).or_default() += n;
+        }
+    }
+    reached
+}
+
+pub fn count(reached: &Reached, what: &str) -> u32 {
+    reached.get(what).copied().unwrap_or(0)
+}
