--- a/crates/seamfront/tests/end_to_end.rs
+++ b/crates/seamfront/tests/end_to_end.rs
@@ -378,6 +378,28 @@
     eventually("gang done", || is("j-000011", "done"));
     eventually("service running", || is("j-900001", "running"));
 
+    // A chain: what needs others runs once these are done, and is cancelled with them.
+    let after = |id: &str, needs: Value| {
+        let mut body: Value = serde_json::from_str(&job(id, "array", 1, "research")).unwrap();
+        body["espera"] = needs;
+        submit(&body.to_string())
+    };
+    assert_eq!(status(after("j-000020", json!(["j-777777"]))), Some(422));
+    assert_eq!(status(after("j-000020", json!("j-000010"))), Some(400));
+    assert_eq!(status(after("j-000020", json!(["j-000010"]))), Some(201));
+    assert_eq!(status(after("j-000021", json!(["j-000010", "j-000020"]))), Some(201));
+    eventually("chain done", || is("j-000021", "done"));
+    assert_eq!(status(submit(&job("j-900002", "service", 1, "research"))), Some(201));
+    eventually("second service running", || is("j-900002", "running"));
+    assert_eq!(status(after("j-000030", json!(["j-900002"]))), Some(201));
+    assert_eq!(status(after("j-000031", json!(["j-000030"]))), Some(201));
+    assert_eq!(state_of("j-000031").as_deref(), Some("queued"));
+    eventually("cancelled", || call(bind, "POST", "/submissions/j-900002/abort", "").filter(|r| r.0 == 200));
+    eventually("cancelled with what it needs", || is("j-000030", "withdrawn"));
+    eventually("cancelled at the end of the chain", || is("j-000031", "withdrawn"));
+    let (s, body) = after("j-000032", json!(["j-000031"])).unwrap();
+    assert_eq!((s, body["ponto"].as_str()), (201, Some("withdrawn")));
+
     drop(controller);
     let controller = start(&dir, &text);
     eventually("service still known after a restart", || is("j-900001", "running"));
@@ -398,7 +420,7 @@
     let before = started.len();
     started.dedup();
     assert_eq!(before, started.len(), "each task was started once, the restart notwithstanding: {started:?}");
-    assert_eq!(started.len(), 10);
+    assert_eq!(started.len(), 13);
     drop(controller);
     let _ = std::fs::remove_dir_all(&dir);
 }
