--- a/crates/seamfront/src/settings.rs
+++ b/crates/seamfront/src/settings.rs
@@ -119,7 +119,7 @@
         let least = |now: f64, next: Option<f64>| next.map_or(now, |n| n.min(now));
         FileState {
             rps: least(self.rps, self.next.rps),
-            write_rps: self.write_rps,
+            write_rps: least(self.write_rps, self.next.write_rps),
             value_kb: least(self.value_kb, self.next.value_kb),
             txn_ops: self.next.txn_ops.map_or(self.txn_ops, |n| n.min(self.txn_ops)),
             next: FileStateNext::default(),
