--- a/crates/seamfront-core/src/capacity.rs
+++ b/crates/seamfront-core/src/capacity.rs
@@ -184,10 +184,19 @@
     let mut idle: Vec<&Supply> =
         p.machines.iter().filter(|m| m.up() && m.idle().is_some() && !p.clearing.contains_key(m.id)).collect();
     idle.sort_by_key(|m| (!m.view.is_some_and(|v| v.released), m.id));
+    let gathered: Vec<&Supply> = p.machines.iter().filter(|m| m.gathered()).collect();
+    // By shard: gangs that wait there and whose order has not come yet.
+    let mut gangs_to_come: BTreeMap<usize, u32> = BTreeMap::new();
+    for (shard, _) in needs.iter().filter(|(_, n)| n.together) {
+        *gangs_to_come.entry(*shard).or_default() += 1;
+    }
     let mut wanted: BTreeSet<&MachineId> = BTreeSet::new();
     let mut cleared: BTreeSet<&MachineId> = BTreeSet::new();
 
     for (shard, need) in &needs {
+        if let Some(n) = gangs_to_come.get_mut(shard).filter(|_| need.together) {
+            *n -= 1;
+        }
         let mut rest = need.count;
         // Where nothing can be rented any more in the zone that it gathers in, another zone must
         // hold all of it.
@@ -203,7 +212,7 @@
         // What it holds already is not for those that come after it. What those hold is for it: gangs
         // that each hold a part of what none of them can do with would all wait for ever.
         let mut held = if need.together { need.total.saturating_sub(need.count) } else { 0 };
-        for m in idle.iter().filter(|m| m.shard == *shard && m.gathered()) {
+        for m in gathered.iter().filter(|m| m.shard == *shard) {
             if held > 0 && m.size.fits(need.task) > 0 && allowed(&m.record.kind, &m.record.zone, m.record.spot) {
                 wanted.insert(m.id);
                 held = held.saturating_sub(m.size.fits(need.task).min(i64::from(held)) as u32);
@@ -253,7 +262,13 @@
                 if rest == 0 || cleared.len() >= CLEAR_MAX {
                     break;
                 }
+                // What a gang holds is not idle where lesser work uses the rest of the machine, nor where such work
+                // is being stopped for that gang: unless the gang comes after this need, it is the gang's, or
+                // gangs of several shards would clear it from each other without end.
+                let held =
+                    wanted.contains(m.id) || (m.gathered() && gangs_to_come.get(&m.shard).is_none_or(|n| *n == 0));
                 let helps = m.shard != *shard
+                    && !held
                     && m.view.is_some_and(|v| v.least.is_some_and(|l| l > need.priority))
                     && m.size.fits(need.task) > 0
                     && !cleared.contains(m.id)
--- a/crates/seamfront-core/src/fleet.rs
+++ b/crates/seamfront-core/src/fleet.rs
@@ -94,7 +94,7 @@
     pub clearing: Option<Micros>,
     /// Since when nothing has been on it.
     pub idle_since: Option<Micros>,
-    /// A gang that waits for more places holds this one: see [`crate::port::MachineView`].
+    /// A gang that waits for its places holds room here: see [`crate::port::MachineView`].
     pub gathered: bool,
     /// Since when nothing here uses its accelerators, which are what it is paid for.
     pub unused_since: Option<Micros>,
--- a/crates/seamfront-core/src/port/peers.rs
+++ b/crates/seamfront-core/src/port/peers.rs
@@ -68,8 +68,8 @@
     /// Empty since this long, with nothing unsettled; only then may it be asked for.
     #[serde(rename = "e", default, skip_serializing_if = "usual")]
     pub idle: Option<Micros>,
-    /// Idle, but held for a gang that waits for more: not to be returned, though more urgent work
-    /// elsewhere may have it.
+    /// A gang holds room here until it has all that it needs, beside lesser work or until such work has been stopped:
+    /// not to be returned, though more urgent work elsewhere may have it.
     #[serde(rename = "g", default, skip_serializing_if = "usual")]
     pub gathered: bool,
     /// Whether it was let go for the leader.
--- a/crates/seamfront-core/src/rounds/mod.rs
+++ b/crates/seamfront-core/src/rounds/mod.rs
@@ -73,36 +73,48 @@
         let whole = gang.need.times(i64::from(gang.tasks));
         self.quota_held.entry(gang.team.clone()).or_insert(whole);
     }
-}
 
-/// Finds places for up to `want` tasks (all or none where not `partial`): free ones go to the plan, and
-/// what is being freed already is held, so that nothing lesser slips in. Returns how many in all.
-fn seat(
-    wish: &Wish,
-    machines: &Machines,
-    room: &mut Room,
-    taken: &mut BTreeMap<String, u32>,
-    want: u32,
-    partial: bool,
-    plan: &mut Vec<(MachineId, i64)>,
-) -> u32 {
-    let mut seated = 0;
-    for when in [When::Now, When::Soon] {
-        let got = wish.choose(machines, room, when, taken, want - seated, partial);
-        seated += got.len() as u32;
-        for k in got {
-            *taken.entry(room.zone(k).to_owned()).or_insert(0) += 1;
-            room.hold(k, wish.spec.need);
-            let id = &room.spots[k].id;
-            if let Some(m) = machines.get(id).filter(|_| when == When::Now) {
-                plan.push((id.clone(), wish.fetch_ms(m)));
+    /// Finds places for up to `want` tasks (all or none where not `partial`): free ones go to the plan, and
+    /// what is being freed already is held, so that nothing lesser slips in. Returns how many in all.
+    fn seat(
+        &mut self,
+        wish: &Wish,
+        machines: &Machines,
+        taken: &mut BTreeMap<String, u32>,
+        want: u32,
+        partial: bool,
+        plan: &mut Vec<(MachineId, i64)>,
+    ) -> u32 {
+        let mut seated = 0;
+        for when in [When::Now, When::Soon] {
+            let got = wish.choose(machines, &self.room, when, taken, want - seated, partial);
+            seated += got.len() as u32;
+            for k in got {
+                *taken.entry(self.room.zone(k).to_owned()).or_insert(0) += 1;
+                self.room.hold(k, wish.spec.need);
+                if when == When::Soon {
+                    self.gather(wish.spec, k);
+                    continue;
+                }
+                let id = &self.room.spots[k].id;
+                if let Some(m) = machines.get(id) {
+                    plan.push((id.clone(), wish.fetch_ms(m)));
+                }
+            }
+            if seated == want {
+                break;
             }
         }
-        if seated == want {
-            break;
+        seated
+    }
+
+    /// A gang holds room on this machine until it has all that it needs: the leader must know, or it would
+    /// have the machine cleared for another shard.
+    fn gather(&mut self, spec: &JobSpec, k: usize) {
+        if spec.kind == Kind::Gang {
+            self.gathered.insert(self.room.spots[k].id.clone());
         }
     }
-    seated
 }
 
 impl Shard {
@@ -293,7 +305,7 @@
             // Work that can still be in time is worth keeping such a machine for; other work is not.
             let keep = if in_time { Micros::MAX } else { context.cfg.tuning.idle_keep };
             wish.any_size = any_size.then_some(keep);
-            rest -= seat(&wish, &self.machines, &mut round.room, &mut taken, rest, !gang, &mut plan);
+            rest -= round.seat(&wish, &self.machines, &mut taken, rest, !gang, &mut plan);
             if rest == 0 {
                 break;
             }
@@ -357,7 +369,7 @@
         wish.cached = true;
         let mut taken = job.zones(|m| self.machines.get(m).map(|m| m.record.zone.as_str()));
         let mut plan = Vec::new();
-        let seated = seat(&wish, &self.machines, &mut round.room, &mut taken, want, true, &mut plan);
+        let seated = round.seat(&wish, &self.machines, &mut taken, want, true, &mut plan);
         if !plan.is_empty() {
             self.place(context, id, &plan);
         }
@@ -392,7 +404,7 @@
             let n = fits.min(missing);
             missing -= n;
             round.room.hold(k, spec.need.times(i64::from(n)));
-            round.gathered.insert(round.room.spots[k].id.clone());
+            round.gather(spec, k);
         }
         (missing, (spec.one_zone && missing < want).then_some(zone))
     }
--- a/crates/seamfront-core/src/rounds/preemption.rs
+++ b/crates/seamfront-core/src/rounds/preemption.rs
@@ -12,7 +12,7 @@
                 let p = j.standing(t);
                 if let Some(k) = room.find(&t.machine) {
                     on[k].least = on[k].least.max(Some(p));
-                    on[k].beyond[p as usize] |= beyond;
+                    on[k].beyond[p as usize] |= beyond && !t.by_turn;
                 }
             }
         }
@@ -105,6 +105,7 @@
                 round.room.spots[*k].soon.add(freed);
             }
             round.room.hold(*k, spec.need);
+            round.gather(&spec, *k);
         }
         info!(job = %id, tasks = chosen.len(), "making room");
         chosen.len() as u32
@@ -129,6 +130,8 @@
             let Some(p) = j.tasks.get(&t.index) else { continue };
             let beyond = reclaims
                 && j.standing(p) == spec.priority
+                // It would be the first to be placed again, and be stopped again, in every round.
+                && !p.by_turn
                 && j.spec.kind != Kind::Service
                 && j.spec.team != spec.team
                 && !inside.contains(&t.job);
--- /dev/null
+++ b/crates/seamfront-core/tests/capacity.rs
@@ -0,0 +1,107 @@
+//! The leader's plan: whose machines may be cleared of lesser work, and for whom.
+
+use seamfront_core::capacity::{plan, Picture, Plan, Supply};
+use seamfront_core::fleet::MachineRecord;
+use seamfront_core::port::{MachineView, Need};
+use seamfront_core::types::*;
+use std::collections::BTreeMap;
+
+fn s(n: i64) -> Micros {
+    Micros::from_secs(n)
+}
+
+fn size() -> Amounts {
+    Amounts::offered(64.0, 8.0, 256.0)
+}
+
+/// A gang that still looks for `count` of its `total` machines of eight accelerators.
+fn gang(job: &str, count: u32, total: u32, left: i64) -> Need {
+    Need {
+        job: job.into(),
+        task: Amounts::needed(57.0, 8.0, 200.0),
+        count,
+        total,
+        together: true,
+        one_zone: true,
+        gathering: None,
+        spread: false,
+        priority: Priority::Urgent,
+        guaranteed: false,
+        overdue: false,
+        types: None,
+        zone: None,
+        spot: false,
+        image_mb: 7_000,
+        estimate: s(200),
+        waited: s(20),
+        left: Some(s(left)),
+        service: false,
+    }
+}
+
+/// A machine that a gang holds, while ordinary work uses what the gang leaves of it.
+fn held(id: &str) -> MachineView {
+    MachineView {
+        id: id.into(),
+        version: 7,
+        up: true,
+        used: Amounts::needed(7.0, 0.0, 14.0),
+        pinned: Amounts::default(),
+        idle: None,
+        gathered: true,
+        released: false,
+        bad: false,
+        leaving: false,
+        least: Some(Priority::Normal),
+        loss: s(9),
+    }
+}
+
+/// One machine in shard 1, held for a gang there; nothing can be rented.
+fn plan_for(needs: &[(usize, Need)]) -> Plan {
+    let types = [MachineType {
+        name: "big".into(),
+        size: size(),
+        cache_mb: 70_000,
+        fetch_mb_s: 200,
+        price: 24_000,
+        spot_price: 10_000,
+        boot: s(50),
+        zones: vec!["x".into()],
+    }];
+    let record = MachineRecord { shard: Some(1), kind: "big".into(), zone: "x".into(), spot: false };
+    let (id, view) = (MachineId::from("i-0"), held("i-0"));
+    let refused = BTreeMap::from([(("big".to_owned(), "x".to_owned(), false), (s(900), 3))]);
+    let machine = Supply { id: &id, shard: 1, record: &record, size: size(), view: Some(&view), age: s(90) };
+    plan(&Picture {
+        now: s(500),
+        needs: needs.iter().map(|(shard, need)| (*shard, need)).collect(),
+        machines: vec![machine],
+        rents: vec![],
+        types: &types,
+        refused: &refused,
+        tuning: &Tuning::default(),
+        clearing: &BTreeMap::new(),
+    })
+}
+
+/// Two gangs of different shards each lack one of two machines. The one whose order comes first keeps what it holds,
+/// although lesser work runs beside it; if the machine went to and fro, neither would ever begin.
+#[test]
+fn what_a_gang_holds_is_cleared_only_for_one_that_comes_before_it() {
+    let (sooner, later) = (60, 90);
+    for (holder_left, cleared) in [(sooner, 0), (later, 1)] {
+        let holder = gang("j-1", 1, 2, holder_left);
+        let other = gang("j-2", 1, 1, if holder_left == sooner { later } else { sooner });
+        let plan = plan_for(&[(1, holder), (2, other)]);
+        assert_eq!(plan.clear.len(), cleared, "holder's time left {holder_left}: {:?}", plan.clear);
+        assert!(plan.returns.is_empty());
+    }
+}
+
+/// The holder has all that it needs and only waits until lesser work there has stopped: it looks for nothing any
+/// more, and keeps what it holds.
+#[test]
+fn what_is_being_freed_for_a_gang_is_not_cleared_for_another() {
+    assert!(plan_for(&[(2, gang("j-2", 1, 1, 10))]).clear.is_empty());
+}
--- a/crates/seamfront-core/tests/turns.rs
+++ b/crates/seamfront-core/tests/turns.rs
@@ -76,6 +76,28 @@
     assert!(job.tasks.values().all(|p| p.stop.is_none() && p.attempt == 1), "it was stopped and placed anew");
 }
 
+/// An urgent gang that has its turn is beyond its team's guarantee, and one of the same priority that comes after it
+/// lies within another team's: it may not reclaim the place that the first would be given again in the next round.
+#[test]
+fn what_began_by_its_turn_is_not_reclaimed_for_a_guarantee() {
+    let now = s(400);
+    let gang = |id: &str, team: &str, submitted| JobSpec {
+        kind: Kind::Gang,
+        team: team.into(),
+        need: Amounts::needed(8.0, 0.0, 1.0),
+        ..array(id, 1, Priority::Urgent, submitted)
+    };
+    let mut h = Held::new(1, 0);
+    let guarantee = Amounts::offered(16.0, 0.0, 0.0);
+    h.cfg.teams.push(Team { name: "u".into(), guarantee, limit: Amounts::default() });
+    for spec in [gang("j-0", "t", now - BEGIN_WITHIN), gang("j-1", "u", now)] {
+        h.shard.add_job(Rc::new(spec), 5, now);
+    }
+    rounds(&mut h, now, 4);
+    assert_eq!((placed(&h, "j-0"), placed(&h, "j-1")), (1, 0));
+    assert_eq!(h.shard.jobs[&JobId::from("j-0")].gang.as_ref().unwrap().epoch, 1, "it was stopped and placed anew");
+}
+
 /// A fetch takes longer than a live service may wait.
 #[test]
 fn room_for_live_services_is_kept_where_their_images_are() {
