--- a/crates/seamfront-core/src/capacity.rs
+++ b/crates/seamfront-core/src/capacity.rs
@@ -1,6 +1,7 @@
 //! How many machines of which kind: a pure plan from what the shards tell. Carrying it out is the
 //! leader's business.
 
+use crate::boots::Boots;
 use crate::fleet::MachineRecord;
 use crate::port::{MachineView, Need};
 use crate::types::*;
@@ -74,6 +75,8 @@
     pub refused: &'a BTreeMap<Offer, (Micros, u32)>,
     /// Operators' settings.
     pub tuning: &'a Tuning,
+    /// How long machines take until they are up.
+    pub boots: &'a Boots,
     /// Machines that are being cleared for another shard.
     pub clearing: &'a BTreeMap<MachineId, (usize, Micros)>,
 }
@@ -177,7 +180,9 @@
             continue;
         }
         let never = m.view.is_none_or(|v| !v.up) && !m.bad();
-        if never && m.age < boot.times(2) + Micros::from_secs(10) {
+        if m.view.is_some_and(|v| !v.up) && p.boots.given_up(m.id, boot, p.now) {
+            plan.returns.push(m.id.clone());
+        } else if never && m.age < p.boots.late_after(&m.record.kind, boot) {
             coming.push((m.shard, m.record.kind.clone(), m.record.zone.clone(), m.record.spot, m.size));
         }
     }
@@ -296,7 +301,8 @@
     plan
 }
 
-fn price_of(types: &[MachineType], kind: &str, spot: bool) -> i64 {
+/// What an hour of such a machine costs.
+pub fn price_of(types: &[MachineType], kind: &str, spot: bool) -> i64 {
     types.iter().find(|t| t.name == kind).map_or(0, |t| if spot { t.spot_price } else { t.price })
 }
 
--- a/crates/seamfront-core/src/leader/mod.rs
+++ b/crates/seamfront-core/src/leader/mod.rs
@@ -1,10 +1,12 @@
 //! The leader: the only one to act on the cloud and to assign machines to shards.
 
+use crate::boots::Boots;
 use crate::capacity::{self, Offer, Picture, RentRecord, Supply};
 use crate::engine::{Engine, Pending};
 use crate::fleet::{machine_key, MachineRecord};
 use crate::port::*;
 use crate::types::*;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use tracing::{debug, info, warn};
 
@@ -64,8 +66,10 @@
     plan_next: Micros,
     move_next: Micros,
     writing: BTreeSet<MachineId>,
-    /// Listed machines without a record, and the one that each will get.
-    adopting: BTreeMap<MachineId, MachineRecord>,
+    /// Listed machines without a record, and the one that each will get: the costliest first.
+    adopting: BTreeMap<(Reverse<i64>, MachineId), MachineRecord>,
+    /// How long machines take until they are up.
+    pub(crate) boots: Boots,
     /// Released machines that the last plan wanted to move or return.
     moves_waiting: usize,
     /// Machines that are to be returned; those that were let go empty can wait for the others.
@@ -105,6 +109,7 @@
             move_next: now,
             writing: BTreeSet::new(),
             adopting: BTreeMap::new(),
+            boots: Boots::default(),
             moves_waiting: 0,
             deletes_waiting: 0,
             emptied: BTreeSet::new(),
@@ -219,6 +224,8 @@
                 now - *t < Micros::from_secs(20) && machines.get(id).is_some_and(|m| m.0.shard != Some(*to))
             });
             l.gone.retain(|_, t| now - *t < Micros::from_secs(180));
+            let gone = &l.gone;
+            l.boots.retain(|id| !gone.contains_key(id));
             self.carry_out_plan();
         }
     }
@@ -338,6 +345,7 @@
             types: &self.types,
             refused: &l.refused,
             tuning: &self.cfg.tuning,
+            boots: &l.boots,
             clearing: &l.clearing,
         };
         let looked = picture.machines.len() * 4 + picture.needs.len();
@@ -470,7 +478,8 @@
         }
         self.assign(failed);
         if let Some(l) = self.leader.as_mut() {
-            l.adopting = new.into_iter().collect();
+            let price = |r: &MachineRecord| capacity::price_of(&self.types, &r.kind, r.spot);
+            l.adopting = new.into_iter().map(|(id, record)| ((Reverse(price(&record)), id), record)).collect();
         }
     }
 
@@ -487,17 +496,17 @@
     }
 
     /// Gives listed machines their records as fast as the store takes them: after a first start all
-    /// of a large fleet come at once.
+    /// of a large fleet come at once. The costliest are waited for most, and lose most by waiting.
     fn adopt_tick(&mut self) {
         let room = self.leader_writes().min(self.cfg.txn_ops / 2);
         let Some(l) = self.leader.as_mut().filter(|l| !l.adopting.is_empty() && room > 0) else { return };
-        let ids: Vec<MachineId> = l.adopting.keys().take(room).cloned().collect();
-        let (mut when, mut apply) = (Vec::new(), Vec::new());
-        for id in &ids {
-            let Some(record) = l.adopting.remove(id) else { continue };
+        let (mut ids, mut when, mut apply) = (Vec::new(), Vec::new(), Vec::new());
+        while ids.len() < room {
+            let Some(((_, id), record)) = l.adopting.pop_first() else { break };
             info!(machine = %id, shard = ?record.shard, "adopting a listed machine");
-            when.push((machine_key(id), 0));
-            apply.push(crate::shard::machine_write(id, &record));
+            when.push((machine_key(&id), 0));
+            apply.push(crate::shard::machine_write(&id, &record));
+            ids.push(id);
         }
         l.writing.extend(ids.iter().cloned());
         self.leader_commit(when, apply, LeaderCall::Machines { ids });
@@ -505,8 +514,10 @@
 
     pub(crate) fn shard_told(&mut self, shard: usize, needs: Vec<Need>, machines: Vec<MachineView>) {
         let now = self.now;
-        if let Some(v) = self.leader.as_mut().and_then(|l| l.views.get_mut(shard)) {
-            let machines = machines.into_iter().map(|m| (m.id.clone(), m)).collect();
+        let Some(l) = self.leader.as_mut() else { return };
+        if let Some(v) = l.views.get_mut(shard) {
+            let machines: BTreeMap<MachineId, MachineView> = machines.into_iter().map(|m| (m.id.clone(), m)).collect();
+            l.boots.learn(now, |id| machines.get(id).is_some_and(|m| m.up));
             *v = Some(ShardView { at: now, needs, machines });
         }
     }
--- a/crates/seamfront-core/src/leader/replies.rs
+++ b/crates/seamfront-core/src/leader/replies.rs
@@ -125,6 +125,9 @@
                         } else {
                             l.refused.remove(&offer);
                         }
+                        for id in &ids {
+                            l.boots.rented(id.clone(), &r.record.kind, now);
+                        }
                         r.got = ids;
                     }
                     CloudReply::NoCapacity => {
--- a/crates/seamfront-core/src/lib.rs
+++ b/crates/seamfront-core/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+pub mod boots;
 pub mod capacity;
 pub mod chains;
 pub mod engine;
--- a/crates/seamfront-core/tests/capacity.rs
+++ b/crates/seamfront-core/tests/capacity.rs
@@ -1,5 +1,6 @@
 //! The leader's plan: whose machines may be cleared of lesser work, and for whom.
 
+use seamfront_core::boots::Boots;
 use seamfront_core::capacity::{plan, Picture, Plan, Supply};
 use seamfront_core::fleet::MachineRecord;
 use seamfront_core::port::{MachineView, Need};
@@ -81,6 +82,7 @@
         types: &types,
         refused: &refused,
         tuning: &Tuning::default(),
+        boots: &Boots::default(),
         clearing: &BTreeMap::new(),
     })
 }
@@ -105,3 +107,39 @@
 fn what_is_being_freed_for_a_gang_is_not_cleared_for_another() {
     assert!(plan_for(&[(2, gang("j-2", 1, 1, 10))]).clear.is_empty());
 }
+
+/// Boots of machines that were rented `started` seconds ago, of which `up` have come up after so many seconds.
+fn boots(started: &[(&str, i64)], up: &[(&str, i64)]) -> Boots {
+    let mut boots = Boots::default();
+    for (id, at) in started {
+        boots.rented((*id).into(), "big", s(*at));
+    }
+    for (id, at) in up {
+        boots.learn(s(*at), |other| other.as_str() == *id);
+    }
+    boots
+}
+
+/// While nothing boots, or before anything is known, giving machines up would only mean to begin again.
+#[test]
+fn a_machine_that_never_comes_up_is_given_up_once_a_later_one_is_up() {
+    let late: MachineId = "i-0".into();
+    let only_earlier = boots(&[("i-1", 0), ("i-0", 5)], &[("i-1", 50)]);
+    let later_too = boots(&[("i-0", 5), ("i-1", 6)], &[("i-1", 56)]);
+    let nothing = boots(&[("i-0", 5), ("i-1", 6)], &[]);
+    for (boots, given_up) in [(only_earlier, false), (later_too, true), (nothing, false)] {
+        assert!(!boots.given_up(&late, s(50), s(100)), "too soon");
+        assert_eq!(boots.given_up(&late, s(50), s(120)), given_up);
+    }
+}
+
+/// Work counts on what is rented as long as boots take now, and no longer: what comes late or never is replaced, and
+/// what is slow like all others is not rented twice.
+#[test]
+fn how_long_work_counts_on_a_rented_machine_follows_the_boots_seen() {
+    let unknown = Boots::default().late_after("big", s(50));
+    let slow = boots(&[("i-1", 0), ("i-2", 0)], &[("i-1", 190), ("i-2", 200)]).late_after("big", s(50));
+    let fast = boots(&[("i-1", 0)], &[("i-1", 2)]).late_after("big", s(50));
+    assert!(slow > s(250), "all are slow now: {slow:?}");
+    assert!(fast >= s(75) && fast < unknown, "the next may take as long as usual: {fast:?}");
+}
