--- a/crates/seamfront-core/src/fleet.rs
+++ b/crates/seamfront-core/src/fleet.rs
@@ -39,6 +39,8 @@
 
 /// So many answers in a row that a worker shows no sign of are no accident.
 const UNHEEDED_MAX: u32 = 4;
+/// So many different jobs have to fail on a machine for it to be suspected.
+const FAULTS_OF_MACHINE: usize = 2;
 /// Completed tasks on which a machine's pace is judged.
 pub const PACE_TASKS: i64 = 10;
 const PACE_SLOW: i64 = 190;
@@ -106,7 +108,7 @@
     pub fetches_changed: bool,
     /// Different jobs that failed here since something last went well.
     pub faults: BTreeSet<JobId>,
-    /// Not worth keeping: jobs fail here, or it is much slower than its kind.
+    /// Not worth keeping: it is much slower than its kind.
     pub suspect: bool,
     /// Tasks completed here lately, and the sum of their run times in percent of their jobs' means.
     pub pace: (i64, i64),
@@ -194,10 +196,20 @@
             && self.clearing.is_none()
             && !self.leaving()
             && !self.expired
-            && !self.suspect
+            && !self.suspected()
             && self.full_until <= now
     }
 
+    /// Different jobs have failed here.
+    pub fn failing(&self) -> bool {
+        self.faults.len() >= FAULTS_OF_MACHINE
+    }
+
+    /// Not worth keeping: jobs fail here, or it is much slower than its kind.
+    pub fn suspected(&self) -> bool {
+        self.suspect || self.failing()
+    }
+
     /// It was judged hopeless, or a write that gives it up may be applied: whatever were started here now would be
     /// returned with it.
     pub fn leaving(&self) -> bool {
--- a/crates/seamfront-core/src/job.rs
+++ b/crates/seamfront-core/src/job.rs
@@ -8,6 +8,11 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+/// From so many errors in a row on, a job is taken for one that fails wherever it goes.
+pub(crate) const ERRORS_OF_JOB: u32 = 3;
+/// So many of such a job's tasks are tried at once.
+const TRIED_AT_ONCE: u32 = 2;
+
 /// How far a placed task has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -159,7 +164,7 @@
     pub paused_until: Micros,
     /// Machines that this job should not use for a while, by when.
     pub avoid: BTreeMap<MachineId, Micros>,
-    /// Errors in a row, without a completed or well started task between them.
+    /// Errors in a row, each on another machine, without a completed task between them.
     pub errors: u32,
     /// Run times of its completed tasks: how many, and their sum.
     pub ran: (i64, Micros),
@@ -217,12 +222,28 @@
         self.spec.tasks - self.done.count() - self.tasks.len() as u32
     }
 
-    /// The next `n` task numbers to start, lowest first, so that the done set stays compact.
+    /// Whether it fails wherever it goes, as far as can be told: submitted with a mistake, most likely.
+    pub fn failing(&self) -> bool {
+        self.errors >= ERRORS_OF_JOB
+    }
+
+    /// How many of its tasks may be placed besides those that are. Of a job that fails wherever it goes few are tried;
+    /// a gang is one try as a whole.
+    pub fn tried_at_once(&self) -> u32 {
+        match self.spec.kind {
+            Kind::Gang => u32::MAX,
+            _ if !self.failing() => u32::MAX,
+            _ => TRIED_AT_ONCE.saturating_sub(self.tasks.len() as u32),
+        }
+    }
+
+    /// The next `n` task numbers to start, lowest first, so that the done set stays compact. Of a job that fails
+    /// wherever it goes others are tried each time: only its first ones may be bad.
     pub fn next_tasks(&self, n: u32) -> Vec<u32> {
-        (self.done.prefix()..self.spec.tasks)
-            .filter(|i| !self.tasks.contains_key(i) && !self.done.contains(*i))
-            .take(n as usize)
-            .collect()
+        let open =
+            || (self.done.prefix()..self.spec.tasks).filter(|i| !self.tasks.contains_key(i) && !self.done.contains(*i));
+        let tried_before = if self.failing() && self.gang.is_none() { self.errors % self.unplaced().max(1) } else { 0 };
+        open().skip(tried_before as usize).chain(open().take(tried_before as usize)).take(n as usize).collect()
     }
 
     /// An attempt number that was never used before.
@@ -293,7 +314,8 @@
             next_attempt: self.next_attempt,
             done: self.done.clone(),
             placed,
-            parks: self.parks,
+            // Only gangs are parked; of other jobs it holds the errors in a row, by which their pauses grow.
+            parks: if self.gang.is_some() { self.parks } else { self.errors },
         }
     }
 
@@ -302,7 +324,10 @@
         self.record = RecordState { version: Some(version), parts_end, ..Default::default() };
         self.next_attempt = record.next_attempt;
         self.done = record.done;
-        self.parks = record.parks;
+        match self.gang {
+            Some(_) => self.parks = record.parks,
+            None => self.errors = record.parks,
+        }
         for (machine, runs) in record.placed {
             for (from, to, attempt) in runs {
                 for i in from..to.min(self.spec.tasks) {
--- a/crates/seamfront-core/src/record.rs
+++ b/crates/seamfront-core/src/record.rs
@@ -38,7 +38,7 @@
     /// Placements by machine.
     #[serde(rename = "p")]
     pub placed: BTreeMap<MachineId, Runs>,
-    /// How often the gang was parked.
+    /// How often the gang was parked; of other jobs, how often in a row their tasks have failed.
     #[serde(rename = "pk")]
     pub parks: u32,
 }
--- a/crates/seamfront-core/src/rounds/machines.rs
+++ b/crates/seamfront-core/src/rounds/machines.rs
@@ -53,9 +53,9 @@
             };
             let taken = m.notice.is_some_and(|t| t + context.cfg.report.times(2) < context.now)
                 && quiet > context.cfg.report.times(2);
-            let hopeless = context.acting && (gone || taken || due || (m.suspect && m.empty()));
+            let hopeless = context.acting && (gone || taken || due || (m.suspected() && m.empty()));
             if hopeless && !m.hopeless {
-                warn!(machine = %m.id, gone, taken, due, suspect = m.suspect, quiet_ms = quiet.0 / 1_000, deaf_ms = m.deaf_for(context.now).0 / 1_000, "machine given up");
+                warn!(machine = %m.id, gone, taken, due, suspect = m.suspected(), quiet_ms = quiet.0 / 1_000, deaf_ms = m.deaf_for(context.now).0 / 1_000, "machine given up");
             }
             m.hopeless = hopeless;
         }
--- a/crates/seamfront-core/src/rounds/mod.rs
+++ b/crates/seamfront-core/src/rounds/mod.rs
@@ -260,7 +260,7 @@
         let held = round.quota_held.get(&spec.team).copied().unwrap_or_default();
         let quota = self.quota.room(team, spec.need, held).min(i64::from(u32::MAX)) as u32;
         let overdue = job.overdue(context.wall);
-        let want = job.unplaced().min(quota).min(job.record_room(&context.layout));
+        let want = job.unplaced().min(quota).min(job.record_room(&context.layout)).min(job.tried_at_once());
         // The turn of an array is for its beginning; the rest of it goes by its own priority again.
         let want = if overdue && spec.kind == Kind::Array { want.min(1) } else { want };
         if want == 0 || (gang && want < spec.tasks) {
--- a/crates/seamfront-core/src/shard/evidence.rs
+++ b/crates/seamfront-core/src/shard/evidence.rs
@@ -1,6 +1,7 @@
 //! What becomes of a task that is known to be on no machine any more.
 
 use super::*;
+use crate::job::ERRORS_OF_JOB;
 
 /// How long a job avoids a machine where a task of it failed.
 const AVOID_AFTER_ERROR: Micros = Micros::from_secs(120);
@@ -10,10 +11,8 @@
 const PAUSE_AFTER_REFUSAL: Micros = Micros::from_secs(1);
 /// How long a machine that refused a task for lack of room gets none.
 const FULL_FOR: Micros = Micros::from_secs(3);
-/// From so many errors in a row on, a job is slowed down and its machines are not blamed.
-const ERRORS_OF_JOB: u32 = 3;
-/// So many different jobs have to fail on a machine for it to be suspected.
-const FAULTS_OF_MACHINE: usize = 2;
+/// The pause of a job that fails wherever it goes doubles up to this many times.
+const PAUSE_DOUBLINGS: u32 = 5;
 /// Completed tasks before their mean run time tells anything of a machine.
 const RUNS_FOR_A_MEAN: i64 = 3;
 
@@ -59,35 +58,53 @@
         self.drain_after_loss(context, task, &p, why, silent);
     }
 
-    /// A task failed: its job avoids the machine, and where different jobs fail the machine is suspected.
+    /// A task failed: its job avoids the machine, and where different jobs fail the machine is suspected. A job that
+    /// fails wherever it goes is tried on by few tasks after growing pauses, and no machine is blamed for it.
     fn blame_failure(&mut self, context: &Context, task: &TaskKey, machine: &MachineId) {
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
-        job.avoid.insert(machine.clone(), context.now + AVOID_AFTER_ERROR);
-        job.errors += 1;
-        warn!(job = %task.job, machine = %machine, errors = job.errors, "task failed");
-        // A job that fails wherever it goes is slowed down, so that it harms nobody.
-        if job.errors >= ERRORS_OF_JOB {
-            let pause = Micros::from_secs(2 << (job.errors - ERRORS_OF_JOB).min(5));
-            job.paused_until = context.now + pause;
+        // Several tasks that fail on one machine tell of the machine, and what a first try began before it was known to
+        // fail tells nothing more.
+        let elsewhere = job.avoid.insert(machine.clone(), context.now + AVOID_AFTER_ERROR).is_none();
+        if elsewhere && job.paused_until <= context.now {
+            job.errors += 1;
         }
-        if job.errors > ERRORS_OF_JOB {
-            return;
+        warn!(job = %task.job, machine = %machine, errors = job.errors, "task failed");
+        if job.failing() {
+            job.paused_until = job.paused_until.max(context.now + pause_after(job.errors));
+            return self.clear_blame(&task.job);
         }
         let Some(m) = self.machines.get_mut(machine) else { return };
         m.faults.insert(task.job.clone());
-        if m.faults.len() >= FAULTS_OF_MACHINE && !m.suspect {
+        if m.failing() {
             warn!(machine = %machine, "different jobs fail here: machine suspected");
-            m.suspect = true;
+        }
+    }
+
+    /// The job was submitted with a mistake, as far as can be told: the machines where it failed are as good as others,
+    /// for it and for all.
+    fn clear_blame(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        for machine in std::mem::take(&mut job.avoid).into_keys() {
+            if let Some(m) = self.machines.get_mut(&machine) {
+                m.faults.remove(id);
+            }
         }
     }
 
     /// A task completed: its run time counts for its machine, and its result for its job.
     fn take_completion(&mut self, context: &Context, task: &TaskKey, p: &Placement) {
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        if job.failing() {
+            info!(job = %task.job, errors = job.errors, "a task completed: tried in full again");
+            job.paused_until = context.now;
+        }
         job.errors = 0;
         let ran = p.running_since.map(|t| context.now - t).filter(|_| job.spec.kind == Kind::Array);
         if let Some(m) = self.machines.get_mut(&p.machine) {
-            m.faults.clear();
+            // What some tasks survive may still be faulty.
+            if !m.failing() {
+                m.faults.clear();
+            }
             if let Some(ran) = ran.filter(|_| job.ran.0 >= RUNS_FOR_A_MEAN) {
                 let before = m.suspect;
                 m.completed(ran, job.ran.1.over(job.ran.0));
@@ -143,3 +160,8 @@
         }
     }
 }
+
+/// How long a job rests that has failed so often in a row, wherever it was.
+pub(super) fn pause_after(errors: u32) -> Micros {
+    Micros::from_secs(2 << errors.saturating_sub(ERRORS_OF_JOB).min(PAUSE_DOUBLINGS))
+}
--- a/crates/seamfront-core/src/shard/mod.rs
+++ b/crates/seamfront-core/src/shard/mod.rs
@@ -180,6 +180,9 @@
         let (spec, job_version) = live.unwrap_or_else(|| (Rc::new(leftover_spec(&id, &record)), 0));
         let mut job = Job::new(spec, job_version, now);
         job.adopt(record, version, parts_end, now);
+        if job.failing() {
+            job.paused_until = now + evidence::pause_after(job.errors);
+        }
         if ended {
             job.ending = Some(Ending::Cancelled);
         } else if job.done.count() == job.spec.tasks {
