--- a/crates/seamfront-core/src/shard/evidence.rs
+++ b/crates/seamfront-core/src/shard/evidence.rs
@@ -12,7 +12,7 @@
 /// How long a machine that refused a task for lack of room gets none.
 const FULL_FOR: Micros = Micros::from_secs(3);
 /// The pause of a job that fails wherever it goes doubles up to this many times.
-const PAUSE_DOUBLINGS: u32 = 5;
+const PAUSE_DOUBLINGS: u32 = 4;
 /// Completed tasks before their mean run time tells anything of a machine.
 const RUNS_FOR_A_MEAN: i64 = 3;
 
--- /dev/null
+++ b/crates/seamfront-core/tests/on_call.rs
@@ -0,0 +1,131 @@
+//! What on-call people met: machines that come up late or never, controllers that are silent for long or see only a
+//! part of what they need, and jobs that fail on every machine. Each test brings it about in the seeded world, together
+//! with older troubles, and asserts that it did.
+
+#[allow(dead_code)]
+mod world;
+
+use seamfront_core::types::*;
+use world::script::{add_coverage, count, history, play, Coverage};
+use world::{ms, Fault, World, NODES};
+
+const SHARDS: [&str; 3] = ["share/0", "share/1", "share/2"];
+
+fn node(w: &mut World) -> usize {
+    w.draw(0..NODES as i64) as usize
+}
+
+/// Nothing that never comes up is paid for once the troubles are over, whoever has led since it was rented.
+#[test]
+fn machines_come_up_late_or_never_while_leaders_change() {
+    let mut coverage = Coverage::new();
+    for seed in 2_000..2_012 {
+        let w = history(seed, |w, troubles| {
+            let percent = [100, 400, 800][w.draw(0..3) as usize];
+            w.fault(ms(1_000), Fault::BadBoots { until: ms(troubles), never: 30, percent });
+            for k in 0..4 {
+                let at = 9_000 + 19_000 * k + w.draw(0..6_000);
+                let fault = match w.draw(0..3) {
+                    0 => Fault::CrashHolder { claim: "leader", back: ms(w.draw(100..6_000)) },
+                    1 => Fault::CloudOutage { until: ms(at + 9_000) },
+                    _ => Fault::KillMachines { count: 2 },
+                };
+                w.fault(ms(at), fault);
+            }
+        });
+        assert_eq!(w.never_up(), [], "seed {seed}: paid for to the end");
+        add_coverage(&mut coverage, w.coverage);
+    }
+    assert!(count(&coverage, "a machine was rented that never comes up") > 20, "{coverage:?}");
+}
+
+/// For a while nothing boots at all, or everything within moments: what is up serves, and all is done in the end.
+#[test]
+fn nothing_boots_or_everything_at_once() {
+    let coverage = play(2_020..2_030, |w, _| {
+        w.fault(ms(1_000), Fault::BadBoots { until: ms(40_000), never: 100, percent: 100 });
+        w.fault(ms(40_000), Fault::BadBoots { until: ms(80_000), never: 0, percent: 5 });
+        w.fault(ms(20_000), Fault::KillMachines { count: 2 });
+        let at = w.draw(30_000..60_000);
+        w.fault(ms(at), Fault::CrashHolder { claim: "leader", back: ms(400) });
+    });
+    assert!(count(&coverage, "a machine was rented that never comes up") > 20, "{coverage:?}");
+    assert!(count(&coverage, "a machine was rented that boots faster or slower") > 5, "{coverage:?}");
+}
+
+/// Frozen for a minute, its clocks running on, or off the net with all that was under way held back; the leader, two at
+/// once, and the same one again within seconds, while users cancel.
+#[test]
+fn controllers_are_silent_for_a_minute_while_jobs_are_cancelled() {
+    let coverage = play(2_040..2_054, |w, _| {
+        let first = node(w);
+        let second = (first + 1) % NODES;
+        for (k, n) in [first, second, first].into_iter().enumerate() {
+            let at = [8_000, 9_500, 71_500][k];
+            let until = ms(at + [60_000, 45_000, 15_000][k]);
+            if w.draw(0..2) == 0 {
+                w.fault(ms(at), Fault::PauseNode { node: n, until });
+            } else {
+                w.fault(ms(at), Fault::CutState { node: n, until, hold: true });
+                w.fault(ms(at), Fault::CutWorkers { node: n, until, hold: true });
+                w.fault(ms(at), Fault::CutMesh { node: n, until });
+            }
+        }
+        for at in [10_000, 22_000, 68_500, 73_000] {
+            let hang = ms(w.draw(0..8_000));
+            w.fault(ms(at), Fault::CancelRunning { count: 3, hang });
+        }
+        w.fault(ms(8_000), Fault::DuplicateReports { until: ms(85_000) });
+    });
+    assert!(count(&coverage, "leadership was taken") > 20, "{coverage:?}");
+}
+
+/// It sees workers and not the state service, the state service and no workers, or is refused by the state service
+/// alone; for less than a lease of 12 s and for longer. Whoever cannot serve its workers hands its shards over.
+#[test]
+fn a_controller_sees_a_part_of_what_it_needs() {
+    let coverage = play(2_060..2_076, |w, _| {
+        for k in 0..3 {
+            let at = 9_000 + 26_000 * k;
+            let n = node(w);
+            let until = ms(at + [5_000, 11_000, 24_000][w.draw(0..3) as usize]);
+            let hold = w.draw(0..2) == 0;
+            let fault = match w.draw(0..4) {
+                0 => Fault::CutState { node: n, until, hold },
+                1 => Fault::Refused { node: n, until },
+                _ => Fault::CutWorkers { node: n, until, hold },
+            };
+            w.fault(ms(at), fault);
+            w.fault(ms(at + 3_000), Fault::CancelRunning { count: 3, hang: Micros::ZERO });
+        }
+    });
+    let claims = count(&coverage, "a claim was taken");
+    assert!(claims > 16 * 5, "nobody took over: {coverage:?}");
+    assert!(claims < 16 * 40, "claims went to and fro: {coverage:?}");
+}
+
+/// They stay known and are tried on until their users cancel them; all other jobs are done as if they were not there.
+#[test]
+fn jobs_that_fail_on_every_machine_until_they_are_cancelled() {
+    let coverage = play(2_080..2_092, |w, _| {
+        for n in 100..112 {
+            let mut spec = w.job(n);
+            if spec.team == "b" {
+                spec.team = "d".into();
+            }
+            spec.class = format!("{} with a mistake", spec.class);
+            let (id, at) = (spec.id.clone(), w.draw(500..30_000));
+            w.fails_always(&spec);
+            w.submit(ms(at), spec);
+            let later = w.draw(25_000..60_000);
+            w.cancel(ms(at + later), id);
+        }
+        for k in 0..3 {
+            let at = 14_000 + 22_000 * k + w.draw(0..6_000);
+            let claim = SHARDS[w.draw(0..3) as usize];
+            let back = ms(w.draw(100..6_000));
+            w.fault(ms(at), Fault::CrashHolder { claim, back });
+        }
+    });
+    assert!(count(&coverage, "a task failed since its job was submitted with a mistake") > 100, "{coverage:?}");
+}
--- a/crates/seamfront-core/tests/world/checks.rs
+++ b/crates/seamfront-core/tests/world/checks.rs
@@ -104,6 +104,7 @@
             }
             *known = (version, self.now);
             if version.is_some() {
+                self.cover("a claim was taken");
                 if claim == "leader" {
                     self.cover("leadership was taken");
                 }
--- a/crates/seamfront-core/tests/world/cloud.rs
+++ b/crates/seamfront-core/tests/world/cloud.rs
@@ -25,6 +25,7 @@
                     for _ in 0..count.min(4) {
                         let slowest = if self.now < self.fast_boots_until { 2_000 } else { 9_000 };
                         let boot = ms(self.rng.random_range(500..slowest));
+                        let boot = self.boot_time(boot);
                         ids.push(self.rent(&kind, &zone, spot, boot));
                     }
                     self.rented.insert(name, ids.clone());
@@ -54,14 +55,17 @@
                     .truth
                     .workers
                     .iter()
-                    .filter(|(_, w)| !w.dead && (w.up_at + lag < self.now || w.up_at == ms(1)))
+                    .filter(|(_, w)| {
+                        let long_not_up = w.up_at > self.now && w.rented_at + lag + ms(9_000) < self.now;
+                        !w.dead && (w.up_at + lag < self.now || w.up_at == ms(1) || long_not_up)
+                    })
                     .map(|(id, w)| Listed {
                         id: id.clone(),
                         kind: w.kind.clone(),
                         zone: w.zone.clone(),
                         spot: w.spot,
-                        state: ListedState::Running,
-                        age: self.now - w.up_at,
+                        state: if w.up_at > self.now { ListedState::Starting } else { ListedState::Running },
+                        age: self.now - w.up_at.min(self.now),
                     })
                     .collect();
                 CloudReply::Page { machines, more: false }
@@ -71,4 +75,24 @@
             self.tell(node, life, Command::Cloud { call, reply });
         }
     }
+
+    /// How long a machine takes to come up, of which `usual` was drawn.
+    fn boot_time(&mut self, usual: Micros) -> Micros {
+        let (until, never, percent) = self.bad_boots;
+        if self.now >= until {
+            return usual;
+        }
+        if self.rng.random_range(0..100) < never {
+            self.cover("a machine was rented that never comes up");
+            return Micros::MAX;
+        }
+        self.cover("a machine was rented that boots faster or slower");
+        usual.times(percent).over(100)
+    }
+
+    /// Machines that are paid for and will never be up.
+    pub fn never_up(&self) -> Vec<MachineId> {
+        let never = |w: &Worker| !w.dead && w.up_at >= Micros::MAX;
+        self.truth.workers.iter().filter(|(_, w)| never(w)).map(|(id, _)| id.clone()).collect()
+    }
 }
--- a/crates/seamfront-core/tests/world/faults.rs
+++ b/crates/seamfront-core/tests/world/faults.rs
@@ -140,6 +140,13 @@
     KeepReports {
         until: Micros,
     },
+    /// Of the machines rented meanwhile so many of a hundred never come up, and the others take so many percent of the
+    /// usual time.
+    BadBoots {
+        until: Micros,
+        never: i64,
+        percent: i64,
+    },
     /// New machines are up within two seconds.
     FastBoots {
         until: Micros,
@@ -288,6 +295,7 @@
             Fault::DelayCommands { until } => self.delay_commands_until = until,
             Fault::LoseCommitAnswers { until } => self.lose_commit_answers_until = until,
             Fault::KeepReports { until } => self.keep_reports_until = until,
+            Fault::BadBoots { until, never, percent } => self.bad_boots = (until, never, percent),
             Fault::FastBoots { until } => self.fast_boots_until = until,
             Fault::CloseLooks { until } => self.close_looks_until = until,
             Fault::InvalidRequests { until } => {
--- a/crates/seamfront-core/tests/world/mod.rs
+++ b/crates/seamfront-core/tests/world/mod.rs
@@ -186,6 +186,8 @@
     /// Copies of reports that the next holder of a claim gets, with when they were sent.
     kept_reports: Vec<(Micros, Report)>,
     fast_boots_until: Micros,
+    /// Until when boots are bad, how many of a hundred never end, and how long the others take in percent.
+    bad_boots: (Micros, i64, i64),
     close_looks_until: Micros,
     /// Jobs that can never run: submitted, and never to be accepted.
     impossible: BTreeSet<JobId>,
@@ -313,6 +315,8 @@
             jobs: BTreeMap::new(),
             teams: settings.teams.clone(),
             completed: BTreeMap::new(),
+            failing: BTreeSet::new(),
+            failures: 0,
             cancelled: BTreeMap::new(),
             cancel: settings.cancel,
             gang_wait: settings.gang_wait,
@@ -372,6 +376,7 @@
             keep_reports_until: Micros::ZERO,
             kept_reports: Vec::new(),
             fast_boots_until: Micros::ZERO,
+            bad_boots: (Micros::ZERO, 0, 100),
             close_looks_until: Micros::ZERO,
             impossible: BTreeSet::new(),
             state_tokens: (0, 0, Micros::ZERO),
@@ -434,6 +439,7 @@
             spot,
             size,
             up_at,
+            rented_at: self.now,
             dead: false,
             hung_until: Micros::ZERO,
             session: 1,
--- a/crates/seamfront-core/tests/world/network.rs
+++ b/crates/seamfront-core/tests/world/network.rs
@@ -245,6 +245,9 @@
         let span = self.rng.random_range(2_000..12_000);
         let before = self.truth.leases_ended;
         self.truth.advance(self.now, |_| ms(span));
+        for _ in 0..std::mem::take(&mut self.truth.failures) {
+            self.cover("a task failed since its job was submitted with a mistake");
+        }
         if self.truth.leases_ended > before {
             self.cover("a lease ended under running tasks");
         }
--- a/crates/seamfront-core/tests/world/script.rs
+++ b/crates/seamfront-core/tests/world/script.rs
@@ -37,6 +37,11 @@
         }
     }
 
+    /// The job is submitted with a mistake: its tasks fail on every machine.
+    pub fn fails_always(&mut self, spec: &JobSpec) {
+        self.truth.failing.insert(spec.id.clone());
+    }
+
     pub fn submit(&mut self, t: Micros, spec: JobSpec) {
         let id = spec.id.clone();
         self.truth.jobs.insert(id.clone(), spec);
--- a/crates/seamfront-core/tests/world/workers.rs
+++ b/crates/seamfront-core/tests/world/workers.rs
@@ -28,6 +28,7 @@
     pub spot: bool,
     pub size: Amounts,
     pub up_at: Micros,
+    pub rented_at: Micros,
     pub dead: bool,
     pub hung_until: Micros,
     pub session: u64,
@@ -59,6 +60,10 @@
     pub jobs: BTreeMap<JobId, JobSpec>,
     pub teams: Vec<Team>,
     pub completed: BTreeMap<JobId, BTreeSet<u32>>,
+    /// Jobs that were submitted with a mistake: their tasks fail on every machine.
+    pub failing: BTreeSet<JobId>,
+    /// How often such a task has failed since that was last counted.
+    pub failures: u32,
     /// When a user was told that the job is cancelled.
     pub cancelled: BTreeMap<JobId, Micros>,
     pub cancel: Micros,
@@ -249,6 +254,12 @@
                         t.until = now + work(spec);
                         t.state = if spec.kind == Kind::Gang { TaskState::Waiting } else { TaskState::Running };
                     }
+                    TaskState::Running
+                        if spec.kind != Kind::Gang && self.failing.contains(&k.job) && t.until <= now =>
+                    {
+                        t.state = TaskState::Exited(Exit::Error);
+                        self.failures += 1;
+                    }
                     TaskState::Running if spec.kind == Kind::Array && t.until <= now => {
                         t.state = TaskState::Exited(Exit::Done);
                         self.completed.entry(k.job.clone()).or_default().insert(k.index);
@@ -298,10 +309,16 @@
                 }
             } else if in_state(TaskState::Running) == spec.tasks {
                 if here.iter().all(|m| m.4 <= now) {
+                    let failing = self.failing.contains(&spec.id);
                     for m in &here {
                         let key = TaskKey { job: spec.id.clone(), index: m.1 };
+                        let exit = if failing { Exit::Error } else { Exit::Done };
                         self.workers.get_mut(&m.0).unwrap().tasks.get_mut(&key).unwrap().state =
-                            TaskState::Exited(Exit::Done);
+                            TaskState::Exited(exit);
+                        if failing {
+                            self.failures += 1;
+                            continue;
+                        }
                         self.completed.entry(spec.id.clone()).or_default().insert(m.1);
                     }
                 }
