--- a/crates/seamfront-core/src/rounds/mod.rs
+++ b/crates/seamfront-core/src/rounds/mod.rs
@@ -40,6 +40,9 @@
     /// What gangs whose turn has come still need of their teams' limits: smaller ones that come after
     /// them would use up every bit that comes free.
     quota_held: BTreeMap<String, Amounts>,
+    /// By team: what tasks will take of its limit for which room is being freed. Without it all that waits would have
+    /// lesser work stopped, though only a few may run.
+    quota_soon: BTreeMap<String, Amounts>,
 }
 
 /// Of what runs on a machine: the least important priority, and by priority whether anything there is
@@ -93,7 +96,7 @@
                 *taken.entry(self.room.zone(k).to_owned()).or_insert(0) += 1;
                 self.room.hold(k, wish.spec.need);
                 if when == When::Soon {
-                    self.gather(wish.spec, k);
+                    self.wait_for(wish.spec, k);
                     continue;
                 }
                 let id = &self.room.spots[k].id;
@@ -108,6 +111,12 @@
         seated
     }
 
+    /// Room for a task is being freed on this machine.
+    fn wait_for(&mut self, spec: &JobSpec, k: usize) {
+        self.quota_soon.entry(spec.team.clone()).or_default().add(spec.need);
+        self.gather(spec, k);
+    }
+
     /// A gang holds room on this machine until it has all that it needs: the leader must know, or it would
     /// have the machine cleared for another shard.
     fn gather(&mut self, spec: &JobSpec, k: usize) {
@@ -251,7 +260,14 @@
                 }
             }
         }
-        Round { room, gathered: BTreeSet::new(), lesser: None, in_vain: Vec::new(), quota_held: BTreeMap::new() }
+        Round {
+            room,
+            gathered: BTreeSet::new(),
+            lesser: None,
+            in_vain: Vec::new(),
+            quota_held: BTreeMap::new(),
+            quota_soon: BTreeMap::new(),
+        }
     }
 
     fn place_job(&mut self, context: &mut Context, id: &JobId, inside: &BTreeSet<JobId>, round: &mut Round) {
@@ -259,7 +275,8 @@
         let Some(team) = context.cfg.team(&job.spec.team) else { return };
         let spec = job.spec.clone();
         let gang = job.gang.is_some();
-        let held = round.quota_held.get(&spec.team).copied().unwrap_or_default();
+        let mut held = round.quota_held.get(&spec.team).copied().unwrap_or_default();
+        held.add(round.quota_soon.get(&spec.team).copied().unwrap_or_default());
         let quota = self.quota.room(team, spec.need, held).min(i64::from(u32::MAX)) as u32;
         let overdue = job.overdue(context.wall);
         let want = job.unplaced().min(quota).min(job.record_room(&context.layout)).min(job.tried_at_once());
--- a/crates/seamfront-core/src/rounds/preemption.rs
+++ b/crates/seamfront-core/src/rounds/preemption.rs
@@ -105,7 +105,7 @@
                 round.room.spots[*k].soon.add(freed);
             }
             round.room.hold(*k, spec.need);
-            round.gather(&spec, *k);
+            round.wait_for(&spec, *k);
         }
         info!(job = %id, tasks = chosen.len(), "making room");
         chosen.len() as u32
--- a/crates/seamfront-core/tests/turns.rs
+++ b/crates/seamfront-core/tests/turns.rs
@@ -165,3 +165,34 @@
     rounds(&mut h, now + s(2), 1);
     assert_eq!(placed(&h, "j-2"), 1);
 }
+
+/// A team may run one more gang, and two wait: only the first has lesser work stopped. Room that was freed for the
+/// other would be filled again, and be freed again, for as long as it waits.
+#[test]
+fn lesser_work_is_stopped_only_for_what_the_limit_lets_run() {
+    let now = s(120);
+    let whole = |id: &str, team: &str, kind, priority| JobSpec {
+        kind,
+        team: team.into(),
+        need: Amounts::needed(8.0, 0.0, 1.0),
+        ..array(id, 1, priority, now)
+    };
+    let mut h = Held::new(4, 0);
+    h.cfg.teams[0].limit = Amounts::offered(8.0, 0.0, 0.0);
+    h.cfg.teams.push(Team { name: "u".into(), guarantee: Amounts::default(), limit: Amounts::default() });
+    for id in ["j-5", "j-6", "j-7", "j-8"] {
+        h.shard.add_job(Rc::new(whole(id, "u", Kind::Array, Priority::BestEffort)), 5, now);
+    }
+    rounds(&mut h, now, 1);
+    for j in h.shard.jobs.values_mut() {
+        j.tasks.values_mut().for_each(|p| p.phase = seamfront_core::job::Phase::Ordered);
+    }
+    for id in ["j-0", "j-1"] {
+        h.shard.add_job(Rc::new(whole(id, "t", Kind::Gang, Priority::Urgent)), 5, now);
+    }
+    for k in 1..4 {
+        h.with(now + s(k), |s, context| s.round(context));
+    }
+    let stopped = h.shard.jobs.values().flat_map(|j| j.tasks.values()).filter(|p| p.stop.is_some()).count();
+    assert_eq!(stopped, 1);
+}
