--- a/crates/seamfront-core/src/fleet.rs
+++ b/crates/seamfront-core/src/fleet.rs
@@ -104,8 +104,6 @@
     pub images: Vec<(String, i64)>,
     /// Images that tasks placed here wait for. Fetches at the same time share the machine's rate.
     pub fetching: BTreeMap<String, i64>,
-    /// Whether one of them is for a task that uses accelerators.
-    pub fetches_for_accelerators: bool,
     /// What is placed here, or which images are here, has changed since `fetching` was made.
     pub fetches_changed: bool,
     /// Different jobs that failed here since something last went well.
@@ -158,7 +156,6 @@
             unused_since: None,
             images: Vec::new(),
             fetching: BTreeMap::new(),
-            fetches_for_accelerators: false,
             fetches_changed: true,
             faults: BTreeSet::new(),
             suspect: false,
@@ -265,12 +262,6 @@
         self.size.gpus == 0 || self.unused_since.is_none_or(|t| now - t < keep.over(2))
     }
 
-    /// A gang waits here for its image, or will as soon as it has all its places: what others fetch meanwhile slows it
-    /// down, and with it all members on other machines.
-    pub fn spares_its_fetch(&self) -> bool {
-        self.size.gpus > 0 && (self.gathered || self.fetches_for_accelerators)
-    }
-
     /// Whether an image is here.
     pub fn has_image(&self, image: &str) -> bool {
         self.images.iter().any(|(i, _)| i == image)
--- a/crates/seamfront-core/src/placement.rs
+++ b/crates/seamfront-core/src/placement.rs
@@ -150,15 +150,10 @@
 
     fn allowed(&self, m: &Machine, suits: bool) -> bool {
         (suits || self.any_size.is_some_and(|keep| m.takes_plain(self.now, keep)))
-            && (!(self.cached || self.spares(m)) || m.has_image(&self.spec.image))
+            && (!self.cached || m.has_image(&self.spec.image))
             && self.avoid.get(&m.id).is_none_or(|until| *until <= self.now)
     }
 
-    /// Whether a fetch for this work must not slow down one that accelerators wait for.
-    fn spares(&self, m: &Machine) -> bool {
-        self.spec.need.gpus == 0 && m.spares_its_fetch()
-    }
-
     /// Places where this may run and that `keep` says are worth looking at.
     pub fn places<'m>(
         &self,
--- a/crates/seamfront-core/src/rounds/mod.rs
+++ b/crates/seamfront-core/src/rounds/mod.rs
@@ -238,13 +238,11 @@
         for m in self.machines.values_mut().filter(|m| m.fetches_changed) {
             m.fetches_changed = false;
             m.fetching.clear();
-            m.fetches_for_accelerators = false;
             for t in &m.tasks {
                 let Some(j) = self.jobs.get(&t.job) else { continue };
                 let waits = j.tasks.get(&t.index).is_some_and(|p| p.phase <= Phase::Fetching);
                 if waits && !m.images.iter().any(|(i, _)| *i == j.spec.image) {
                     m.fetching.insert(j.spec.image.clone(), j.spec.image_mb);
-                    m.fetches_for_accelerators |= j.spec.need.gpus > 0;
                 }
             }
         }
--- a/crates/seamfront-core/tests/turns.rs
+++ b/crates/seamfront-core/tests/turns.rs
@@ -136,36 +136,6 @@
     assert_eq!((first.unplaced(), second.unplaced()), (0, 4));
 }
 
-/// While a gang fetches its image on a machine with accelerators, ordinary work that would fetch another one there
-/// goes elsewhere; work whose image is there, or that comes later, may use what is left.
-#[test]
-fn what_accelerators_wait_for_is_not_slowed_down_by_other_fetches() {
-    use seamfront_core::job::Phase;
-    let now = s(120);
-    let gang = JobSpec {
-        kind: Kind::Gang,
-        image: "large".into(),
-        need: Amounts::needed(6.0, 2.0, 1.0),
-        ..array("j-0", 1, Priority::Urgent, now)
-    };
-    let mut h = Held::new(1, 0);
-    let m = MachineId::from("i-0");
-    h.shard.machines.get_mut(&m).unwrap().size = Amounts::offered(8.0, 2.0, 32.0);
-    h.shard.machines.get_mut(&m).unwrap().used_image("there", 100, 1_000);
-    h.shard.add_job(Rc::new(gang), 5, now);
-    rounds(&mut h, now, 1);
-    let here = JobSpec { image: "there".into(), ..array("j-1", 1, Priority::Normal, now) };
-    for spec in [here, array("j-2", 1, Priority::Normal, now)] {
-        h.shard.add_job(Rc::new(spec), 5, now);
-    }
-    rounds(&mut h, now + s(1), 1);
-    assert_eq!((placed(&h, "j-0"), placed(&h, "j-1"), placed(&h, "j-2")), (1, 1, 0));
-    h.shard.jobs.get_mut(&JobId::from("j-0")).unwrap().tasks.get_mut(&0).unwrap().phase = Phase::Running;
-    h.shard.machines.get_mut(&m).unwrap().fetches_changed = true;
-    rounds(&mut h, now + s(2), 1);
-    assert_eq!(placed(&h, "j-2"), 1);
-}
-
 /// A team may run one more gang, and two wait: only the first has lesser work stopped. Room that was freed for the
 /// other would be filled again, and be freed again, for as long as it waits.
 #[test]
