--- a/crates/seamfront-core/src/users.rs
+++ b/crates/seamfront-core/src/users.rs
@@ -56,6 +56,8 @@
 const ENDED_KEPT: usize = 50_000;
 /// More users waiting than this are told to come back.
 const WAITING_MAX: usize = 2_000;
+/// Questions leave so many of these places to submissions and cancellations: users ask again in any case.
+const KEPT_FROM_QUESTIONS: usize = 500;
 const SUBMIT_BATCH: usize = 16;
 
 impl Ended {
@@ -131,8 +133,13 @@
         !self.store.loaded() || self.now - self.store.last_ok > Micros::from_millis(2_500)
     }
 
+    /// Requests of users that wait for the store.
+    fn users_waiting(&self) -> usize {
+        self.users.submits.len() + self.users.polls.len() + self.users.in_flight
+    }
+
     fn crowded(&self) -> bool {
-        self.users.submits.len() + self.users.polls.len() + self.users.in_flight > WAITING_MAX
+        self.users_waiting() > WAITING_MAX
     }
 
     pub(crate) fn submit(&mut self, to: ReplyTo, mut spec: JobSpec) {
@@ -179,7 +186,7 @@
         if let Some(end) = self.users.ended.get(&id) {
             return self.answer_end(to, &id, end);
         }
-        if self.store_away() || self.crowded() {
+        if self.store_away() || self.users_waiting() > WAITING_MAX - KEPT_FROM_QUESTIONS {
             return self.later(to);
         }
         self.users.polls.push_back((to, id));
--- a/crates/seamfront-core/tests/on_call.rs
+++ b/crates/seamfront-core/tests/on_call.rs
@@ -129,3 +129,28 @@
     });
     assert!(count(&coverage, "a task failed since its job was submitted with a mistake") > 100, "{coverage:?}");
 }
+
+/// Questions cost the state service a fifth of its rate at most, however many there are: those that come within a
+/// moment share a confirmation. Submissions and cancellations go on, and nobody is told anything older (the world checks it).
+#[test]
+fn users_ask_fifty_times_as_often() {
+    let asked = |factor: i64| {
+        let mut sum = 0;
+        let mut coverage = Coverage::new();
+        for seed in 2_100..2_106 {
+            let w = history(seed, |w, _| {
+                w.fault(ms(15_000), Fault::PollStorm { until: ms(75_000), factor });
+                w.fault(ms(30_000), Fault::CancelRunning { count: 4, hang: Micros::ZERO });
+                w.fault(ms(50_000), Fault::CrashHolder { claim: "leader", back: ms(3_000) });
+            });
+            sum += (20..70).map(|second| w.asked_of_store[&second].0).sum::<u32>();
+            add_coverage(&mut coverage, w.coverage);
+        }
+        (sum, count(&coverage, "a question was asked besides the usual ones"))
+    };
+    let ((usual, few), (storm, many)) = (asked(1), asked(50));
+    assert!(many > 20 * few && many > 10_000, "{few} and {many} questions");
+    let a_fifth = 6 * 50 * world::SMALL.state_rps as u32 / 5;
+    assert!(storm < usual + a_fifth, "{usual} requests to the store at the usual rate, {storm} at fifty times that");
+    assert!(storm < 2 * usual, "{usual} requests to the store at the usual rate, {storm} at fifty times that");
+}
--- a/crates/seamfront-core/tests/world/faults.rs
+++ b/crates/seamfront-core/tests/world/faults.rs
@@ -140,6 +140,11 @@
     KeepReports {
         until: Micros,
     },
+    /// Users ask about their jobs so many times as often.
+    PollStorm {
+        until: Micros,
+        factor: i64,
+    },
     /// Of the machines rented meanwhile so many of a hundred never come up, and the others take so many percent of the
     /// usual time.
     BadBoots {
@@ -295,6 +300,10 @@
             Fault::DelayCommands { until } => self.delay_commands_until = until,
             Fault::LoseCommitAnswers { until } => self.lose_commit_answers_until = until,
             Fault::KeepReports { until } => self.keep_reports_until = until,
+            Fault::PollStorm { until, factor } => {
+                self.poll_storm = (until, factor);
+                self.at(self.now, Event::AskOften);
+            }
             Fault::BadBoots { until, never, percent } => self.bad_boots = (until, never, percent),
             Fault::FastBoots { until } => self.fast_boots_until = until,
             Fault::CloseLooks { until } => self.close_looks_until = until,
--- a/crates/seamfront-core/tests/world/mod.rs
+++ b/crates/seamfront-core/tests/world/mod.rs
@@ -99,6 +99,8 @@
         job: JobId,
     },
     InvalidRequests,
+    /// Users ask about all unfinished jobs, more often than usual.
+    AskOften,
     Fault(Fault),
 }
 
@@ -189,6 +191,8 @@
     /// Until when boots are bad, how many of a hundred never end, and how long the others take in percent.
     bad_boots: (Micros, i64, i64),
     close_looks_until: Micros,
+    /// Until when users ask more often, and how many times as often.
+    poll_storm: (Micros, i64),
     /// Jobs that can never run: submitted, and never to be accepted.
     impossible: BTreeSet<JobId>,
     /// What the state service still takes in requests and in writes, in thousandths, and when that was counted.
@@ -378,6 +382,7 @@
             fast_boots_until: Micros::ZERO,
             bad_boots: (Micros::ZERO, 0, 100),
             close_looks_until: Micros::ZERO,
+            poll_storm: (Micros::ZERO, 0),
             impossible: BTreeSet::new(),
             state_tokens: (0, 0, Micros::ZERO),
             ended: BTreeMap::new(),
@@ -551,6 +556,7 @@
                 }
             }
             Event::AskAll { job } => self.ask_all(&job),
+            Event::AskOften => self.ask_often(),
             Event::InvalidRequests => self.invalid_requests(),
             Event::Fault(f) => self.inject(f),
         }
--- a/crates/seamfront-core/tests/world/users.rs
+++ b/crates/seamfront-core/tests/world/users.rs
@@ -2,6 +2,10 @@
 
 use super::*;
 
+/// How often a user asks as a rule.
+const USUAL_POLL_MS: i64 = 6_000;
+const STORM_STEP_MS: i64 = 200;
+
 impl World {
     pub(super) fn ask(&mut self, asked: Asked, command: impl FnOnce(ReplyTo) -> Command) {
         let up: Vec<usize> = (0..self.scale.nodes).filter(|k| self.nodes[*k].engine.is_some()).collect();
@@ -61,6 +65,28 @@
         }
     }
 
+    /// Besides the usual question every few seconds, about each unfinished job and at any controller.
+    pub(super) fn ask_often(&mut self) {
+        let (until, factor) = self.poll_storm;
+        if self.now >= until {
+            return;
+        }
+        self.after(ms(STORM_STEP_MS), Event::AskOften);
+        let up: Vec<usize> = (0..self.scale.nodes).filter(|k| self.nodes[*k].engine.is_some()).collect();
+        let open: Vec<JobId> = self.accepted.iter().filter(|j| !self.told.contains_key(*j)).cloned().collect();
+        for job in open.iter().filter(|_| !up.is_empty()) {
+            for _ in 0..factor {
+                if self.rng.random_range(0..USUAL_POLL_MS) >= STORM_STEP_MS {
+                    continue;
+                }
+                self.cover("a question was asked besides the usual ones");
+                let node = up[self.rng.random_range(0..up.len())];
+                let id = job.clone();
+                self.ask_once(node, Asked::Poll { job: job.clone() }, |to| Command::Poll { to, id });
+            }
+        }
+    }
+
     /// What users do though it makes no sense.
     pub(super) fn invalid_requests(&mut self) {
         if self.now >= self.invalid_requests {
