--- a/crates/seamfront-core/src/rounds/mod.rs
+++ b/crates/seamfront-core/src/rounds/mod.rs
@@ -40,8 +40,8 @@
     /// What gangs whose turn has come still need of their teams' limits: smaller ones that come after
     /// them would use up every bit that comes free.
     quota_held: BTreeMap<String, Amounts>,
-    /// By team: what tasks will take of its limit for which room is being freed. Without it all that waits would have
-    /// lesser work stopped, though only a few may run.
+    /// By team: what tasks will take of its limit for which room is being freed. No more lesser work is stopped than
+    /// for what the rest of the limit lets run; what finds free room meanwhile may go before.
     quota_soon: BTreeMap<String, Amounts>,
 }
 
@@ -273,8 +273,7 @@
         let Some(team) = context.cfg.team(&job.spec.team) else { return };
         let spec = job.spec.clone();
         let gang = job.gang.is_some();
-        let mut held = round.quota_held.get(&spec.team).copied().unwrap_or_default();
-        held.add(round.quota_soon.get(&spec.team).copied().unwrap_or_default());
+        let held = round.quota_held.get(&spec.team).copied().unwrap_or_default();
         let quota = self.quota.room(team, spec.need, held).min(i64::from(u32::MAX)) as u32;
         let overdue = job.overdue(context.wall);
         let want = job.unplaced().min(quota).min(job.record_room(&context.layout)).min(job.tried_at_once());
@@ -331,7 +330,13 @@
             self.place(context, id, &plan);
         }
         if rest > 0 && terms.2 {
-            rest -= self.make_room(context, id, rest, inside, round, false);
+            let mut spoken_for = held;
+            spoken_for.add(round.quota_soon.get(&spec.team).copied().unwrap_or_default());
+            let may_run = self.quota.room(team, spec.need, spoken_for).min(i64::from(rest)) as u32;
+            if may_run == 0 || (gang && may_run < rest) {
+                return;
+            }
+            rest -= self.make_room(context, id, may_run, inside, round, false);
         }
         if alike && rest == want {
             round.in_vain.push((spec.clone(), terms));
