--- a/crates/seamfront-core/src/job.rs
+++ b/crates/seamfront-core/src/job.rs
@@ -201,10 +201,11 @@
         self.ending.is_none()
     }
 
-    /// Nothing of it has begun, though it should soon have: see [`turn`].
-    pub fn overdue(&self, wall: Micros) -> bool {
+    /// Nothing of it has begun, though it should soon have: see [`turn`]. It begins only once its image is fetched.
+    pub fn overdue(&self, wall: Micros, types: &[MachineType]) -> bool {
         let waited = wall - self.spec.submitted;
-        self.tasks.is_empty() && self.done.count() == 0 && waited > BEGIN_WITHIN.times(2).over(3)
+        let reserve_within = BEGIN_WITHIN - self.spec.fetch_at_best(types).min(BEGIN_WITHIN.over(2));
+        self.tasks.is_empty() && self.done.count() == 0 && waited > reserve_within.times(2).over(3)
     }
 
     /// How important a task of it is to those that might stop it. What began by its turn stands as high
--- a/crates/seamfront-core/src/placement.rs
+++ b/crates/seamfront-core/src/placement.rs
@@ -183,13 +183,6 @@
         all
     }
 
-    /// The shortest fetch of the image on any machine that may run this.
-    pub fn fetch_at_best(&self) -> Micros {
-        let fits = |t: &&MachineType| t.size.fits(self.spec.need) > 0 && self.spec.suits(t.size, self.types);
-        let rate = self.types.iter().filter(fits).map(|t| t.fetch_mb_s).max().unwrap_or(0);
-        Micros::from_millis(self.spec.image_mb * 1_000 / rate.max(1))
-    }
-
     /// Work that saves goes to spot machines where it may: it loses little when these are taken. What
     /// would have to start anew, and makes its whole job late, goes to the others first.
     pub fn kind_ms(&self, m: &Machine) -> i64 {
--- a/crates/seamfront-core/src/rounds/mod.rs
+++ b/crates/seamfront-core/src/rounds/mod.rs
@@ -71,10 +71,14 @@
 }
 
 impl Round {
-    fn hold_quota(&mut self, gang: &JobSpec) {
-        // One at a time: all that are overdue would together hold the whole limit and leave it unused.
-        let whole = gang.need.times(i64::from(gang.tasks));
-        self.quota_held.entry(gang.team.clone()).or_insert(whole);
+    /// Keeps a gang's part of its team's limit for it. One gang at a time: all that are overdue would together hold the
+    /// whole limit and leave it unused. Whether this is the one.
+    fn hold_quota(&mut self, gang: &JobSpec) -> bool {
+        if self.quota_held.contains_key(&gang.team) {
+            return false;
+        }
+        self.quota_held.insert(gang.team.clone(), gang.need.times(i64::from(gang.tasks)));
+        true
     }
 
     /// Finds places for up to `want` tasks (all or none where not `partial`): free ones go to the plan, and
@@ -218,7 +222,7 @@
         let mut order: Vec<_> = waiting
             .into_iter()
             .map(|j| {
-                let overdue = j.overdue(context.wall);
+                let overdue = j.overdue(context.wall, context.types);
                 let due = context.cfg.start_by(&j.spec, context.wall).filter(|_| !overdue).unwrap_or(Micros::MAX);
                 let spec = &j.spec;
                 let size = match spec.kind {
@@ -275,13 +279,14 @@
         let gang = job.gang.is_some();
         let held = round.quota_held.get(&spec.team).copied().unwrap_or_default();
         let quota = self.quota.room(team, spec.need, held).min(i64::from(u32::MAX)) as u32;
-        let overdue = job.overdue(context.wall);
+        let overdue = job.overdue(context.wall, context.types);
         let want = job.unplaced().min(quota).min(job.record_room(&context.layout)).min(job.tried_at_once());
         // The turn of an array is for its beginning; the rest of it goes by its own priority again.
         let want = if overdue && spec.kind == Kind::Array { want.min(1) } else { want };
         if want == 0 || (gang && want < spec.tasks) {
-            if gang && overdue {
-                round.hold_quota(&spec);
+            // While it waits for its part of the limit it holds what room there is, or both would take their time.
+            if gang && overdue && round.hold_quota(&spec) {
+                self.gather(context, id, spec.tasks, round);
             }
             return;
         }
@@ -341,6 +346,10 @@
         if alike && rest == want {
             round.in_vain.push((spec.clone(), terms));
         }
+        if rest == 0 && gang && overdue && plan.is_empty() {
+            // Its room is being freed: what finds free room meanwhile must not use up the limit.
+            round.hold_quota(&spec);
+        }
         if rest > 0 {
             self.wait_for_room(context, id, (rest, want), (within, overdue), round);
         }
@@ -385,7 +394,7 @@
         let mut wish = Wish::of(job, context.now, context.types);
         let live = job.spec.kind == Kind::Service && job.spec.priority == Priority::Critical;
         let stopped_in = context.cfg.report.times(5).over(4) + Micros::from_secs(1);
-        if !live || wish.fetch_at_best() <= stopped_in {
+        if !live || wish.spec.fetch_at_best(context.types) <= stopped_in {
             return 0;
         }
         wish.cached = true;
@@ -443,7 +452,7 @@
             }
             None => job.take_attempt(),
         };
-        let by_turn = job.overdue(context.wall);
+        let by_turn = job.overdue(context.wall, context.types);
         let slowest = plan.iter().map(|p| p.1).max().unwrap_or(0);
         let patience = context.cfg.gang_wait.over(3).0 / 1_000;
         for (i, (machine, fetch_ms)) in job.next_tasks(plan.len() as u32).into_iter().zip(plan) {
@@ -496,7 +505,7 @@
             spread: s.spread,
             priority: s.priority,
             guaranteed,
-            overdue: job.overdue(context.wall),
+            overdue: job.overdue(context.wall, context.types),
             types: s.types.clone(),
             zone: s.zone.clone(),
             spot: s.spot,
--- a/crates/seamfront-core/src/types.rs
+++ b/crates/seamfront-core/src/types.rs
@@ -247,7 +247,7 @@
 /// Every job, the largest too, should have begun this long after its submission.
 pub const BEGIN_WITHIN: Micros = Micros::from_secs(240);
 
-/// The order of turns. What has not begun at all when two thirds of the time that it may take are over
+/// The order of turns. What has not begun at all when two thirds of the time that its image leaves it are over
 /// goes with the work that is one step more important, and before it: so nothing waits for ever
 /// behind an endless stream of better work. Of an array one task does: raised as a whole, the arrays of
 /// a long burst took the room of all ordinary work. This decides who is placed next and for whom machines
@@ -330,6 +330,13 @@
         suits(self.need, self.types.as_deref(), size, types)
     }
 
+    /// The shortest fetch of the image on any machine that may run this.
+    pub fn fetch_at_best(&self, types: &[MachineType]) -> Micros {
+        let fits = |t: &&MachineType| t.size.fits(self.need) > 0 && self.suits(t.size, types);
+        let rate = types.iter().filter(fits).map(|t| t.fetch_mb_s).max();
+        rate.map_or(Micros::ZERO, |rate| Micros::from_millis(self.image_mb * 1_000 / rate.max(1)))
+    }
+
     /// Whether its tasks can save.
     pub fn saves(&self) -> bool {
         self.checkpoint > Micros::ZERO
--- a/crates/seamfront-core/tests/turns.rs
+++ b/crates/seamfront-core/tests/turns.rs
@@ -166,3 +166,63 @@
     let stopped = h.shard.jobs.values().flat_map(|j| j.tasks.values()).filter(|p| p.stop.is_some()).count();
     assert_eq!(stopped, 1);
 }
+
+/// Machines of eight processors with their tasks of best effort ordered there, and room for two such tasks under the
+/// limit of the team whose gangs take a machine a member.
+fn held_with_limit_for_two(
+    machines: usize,
+    busy: &[&str],
+    now: Micros,
+) -> (Held, impl Fn(&str, u32, Micros) -> JobSpec) {
+    let mut h = Held::new(machines, 0);
+    h.cfg.teams[0].limit = Amounts::offered(16.0, 0.0, 0.0);
+    h.cfg.teams.push(Team { name: "u".into(), guarantee: Amounts::default(), limit: Amounts::default() });
+    for id in busy {
+        let need = Amounts::needed(8.0, 0.0, 1.0);
+        let lesser = JobSpec { team: "u".into(), need, ..array(id, 1, Priority::BestEffort, now) };
+        h.shard.add_job(Rc::new(lesser), 5, now);
+    }
+    rounds(&mut h, now, 1);
+    order_all(&mut h);
+    let gang = |id: &str, tasks, submitted| JobSpec {
+        kind: Kind::Gang,
+        need: Amounts::needed(8.0, 0.0, 1.0),
+        ..array(id, tasks, Priority::Urgent, submitted)
+    };
+    (h, gang)
+}
+
+fn order_all(h: &mut Held) {
+    for j in h.shard.jobs.values_mut() {
+        j.tasks.values_mut().for_each(|p| p.phase = seamfront_core::job::Phase::Ordered);
+    }
+}
+
+/// Lesser work is being stopped for an overdue gang: a smaller one that finds free room at once must not use up the
+/// limit meanwhile, again and again.
+#[test]
+fn an_overdue_gang_keeps_its_part_of_the_limit_while_room_is_freed_for_it() {
+    let now = s(500);
+    let (mut h, gang) = held_with_limit_for_two(3, &["j-5", "j-6"], now);
+    h.shard.add_job(Rc::new(gang("j-0", 2, now - BEGIN_WITHIN)), 5, now);
+    h.shard.add_job(Rc::new(gang("j-1", 1, now)), 5, now);
+    h.with(now + s(1), |s, context| s.round(context));
+    let stopped = h.shard.jobs.values().flat_map(|j| j.tasks.values()).filter(|p| p.stop.is_some()).count();
+    assert!(stopped > 0, "room is being freed");
+    assert_eq!((placed(&h, "j-0"), placed(&h, "j-1")), (0, 0));
+}
+
+/// While an overdue gang waits for its part of the limit, lesser work does not fill the room that it will need then.
+#[test]
+fn an_overdue_gang_holds_room_while_it_waits_for_the_limit() {
+    let now = s(500);
+    let (mut h, gang) = held_with_limit_for_two(3, &[], now);
+    h.shard.add_job(Rc::new(gang("j-1", 1, now)), 5, now);
+    h.with(now + s(1), |s, context| s.round(context));
+    order_all(&mut h);
+    h.shard.add_job(Rc::new(gang("j-0", 2, now - BEGIN_WITHIN)), 5, now);
+    let lesser = JobSpec { team: "u".into(), ..array("j-7", 40, Priority::BestEffort, now) };
+    h.shard.add_job(Rc::new(lesser), 5, now);
+    h.with(now + s(2), |s, context| s.round(context));
+    assert_eq!((placed(&h, "j-1"), placed(&h, "j-0"), placed(&h, "j-7")), (1, 0, 0));
+}
