--- a/crates/seamfront-core/src/leader/mod.rs
+++ b/crates/seamfront-core/src/leader/mod.rs
@@ -27,6 +27,8 @@
 struct Rent {
     record: RentRecord,
     step: RentStep,
+    /// When the cloud may have been asked first.
+    asked_at: Option<Micros>,
     retry_at: Micros,
     got: Vec<MachineId>,
 }
@@ -85,6 +87,22 @@
 const VIEW_AGE: Micros = Micros::from_secs(4);
 const DELETE_EVERY: Micros = Micros::from_millis(500);
 const REFUSED_FOR: Micros = Micros::from_secs(15);
+/// How much a listed machine's age may be off.
+const LISTED_AGE_SLACK: Micros = Micros::from_secs(1);
+/// What a former leader has asked for was asked this long before its successor reads of it, at the most.
+const FORMER_ASKED_WITHIN: Micros = Micros::from_secs(30);
+
+impl Rent {
+    /// Whether the cloud may have rented this machine for it, and the answer is not known: such a machine is not
+    /// adopted, or it would go to another shard than the one that it was rented for.
+    fn may_have_rented(&self, m: &Listed, now: Micros) -> bool {
+        let r = &self.record;
+        let unanswered = self.step != RentStep::Settling;
+        let since = self.asked_at.filter(|_| unanswered);
+        let in_time = since.is_some_and(|asked| m.age <= now - asked + LISTED_AGE_SLACK);
+        in_time && m.kind == r.kind && m.zone == r.zone && m.spot == r.spot
+    }
+}
 
 impl Leader {
     /// A leader that has just begun.
@@ -240,6 +258,7 @@
         if let Some(name) = due.map(|d| d.0.clone()) {
             if let Some(r) = l.rents.get_mut(&name) {
                 r.step = RentStep::Asking;
+                r.asked_at = r.asked_at.or(Some(now));
                 l.cloud_rest = now + Micros::from_millis(250);
                 let (kind, zone) = (r.record.kind.clone(), r.record.zone.clone());
                 let request =
@@ -431,7 +450,7 @@
         let name = format!("r-{}-{}", l.version, l.counter);
         info!(name, kind = %record.kind, zone = %record.zone, spot = record.spot, count = record.count, shard = record.shard, "renting");
         let value = serde_json::to_value(&record).unwrap_or_default();
-        let rent = Rent { record, step: RentStep::Recording, retry_at: Micros::ZERO, got: Vec::new() };
+        let rent = Rent { record, step: RentStep::Recording, asked_at: None, retry_at: Micros::ZERO, got: Vec::new() };
         l.rents.insert(name.clone(), rent);
         let key = format!("rent/{name}");
         let apply = vec![Write::Put { key: key.clone(), value, lease: None }];
@@ -450,7 +469,6 @@
         }
         let mut pending: BTreeSet<&MachineId> = l.rents.values().flat_map(|r| r.got.iter()).collect();
         pending.extend(l.writing.iter());
-        let asking = l.rents.values().any(|r| r.step == RentStep::Asking);
         let mut new: Vec<(MachineId, MachineRecord)> = Vec::new();
         let mut failed: Vec<(MachineId, Option<usize>)> = Vec::new();
         for m in listed {
@@ -463,7 +481,7 @@
                 }
                 continue;
             }
-            if asking && m.age < Micros::from_secs(30) {
+            if l.rents.values().any(|r| r.may_have_rented(m, self.now)) {
                 continue;
             }
             let key = (m.kind.clone(), m.zone.clone(), m.spot);
--- a/crates/seamfront-core/src/leader/replies.rs
+++ b/crates/seamfront-core/src/leader/replies.rs
@@ -30,7 +30,8 @@
                     match serde_json::from_value(e.value) {
                         Ok(record) => {
                             info!(name, "repeating a former leader's request");
-                            let rent = Rent { record, step: RentStep::Ready, retry_at: now, got: Vec::new() };
+                            let asked_at = Some(now - FORMER_ASKED_WITHIN);
+                            let rent = Rent { record, step: RentStep::Ready, asked_at, retry_at: now, got: Vec::new() };
                             l.rents.insert(name, rent);
                         }
                         Err(e) => warn!(name, %e, "unreadable rent record"),
--- a/crates/seamfront-core/tests/on_call.rs
+++ b/crates/seamfront-core/tests/on_call.rs
@@ -7,7 +7,7 @@
 
 use seamfront_core::types::*;
 use world::script::{add_coverage, count, history, play, Coverage};
-use world::{ms, Fault, World, NODES};
+use world::{ms, Fault, Scale, World, NODES, SMALL};
 
 const SHARDS: [&str; 3] = ["share/0", "share/1", "share/2"];
 
@@ -150,7 +150,27 @@
     };
     let ((usual, few), (storm, many)) = (asked(1), asked(50));
     assert!(many > 20 * few && many > 10_000, "{few} and {many} questions");
-    let a_fifth = 6 * 50 * world::SMALL.state_rps as u32 / 5;
+    let a_fifth = 6 * 50 * SMALL.state_rps as u32 / 5;
     assert!(storm < usual + a_fifth, "{usual} requests to the store at the usual rate, {storm} at fifty times that");
     assert!(storm < 2 * usual, "{usual} requests to the store at the usual rate, {storm} at fifty times that");
 }
+
+/// At the first start all machines at hand are without records, and more are asked for all the time. Only those that
+/// may have been rented just then must wait for the answer.
+#[test]
+fn machines_at_hand_are_adopted_while_others_are_being_rented() {
+    for seed in 2_120..2_124 {
+        let mut w = World::sized(seed, Scale { machines: 60, most: 90, write_rps: 16, limits: [0; 10], ..SMALL });
+        w.quiet_from = ms(1_000);
+        w.fault(ms(1), Fault::SlowRentals { until: ms(60_000) });
+        for n in 0..20 {
+            let mut spec = w.job(n);
+            (spec.kind, spec.tasks, spec.types) = (Kind::Array, 30, Some(vec!["large".into()]));
+            let at = 500 * i64::from(n);
+            w.submit(ms(at), spec);
+        }
+        w.run_until(ms(25_000));
+        assert!(w.stored("machine/") >= 60, "seed {seed}: {} of 60 after 25 s", w.stored("machine/"));
+        assert!(count(&w.coverage, "the cloud took seconds to answer a request for machines") > 3);
+    }
+}
--- a/crates/seamfront-core/tests/world/cloud.rs
+++ b/crates/seamfront-core/tests/world/cloud.rs
@@ -11,6 +11,7 @@
             }
             return self.tell(node, life, Command::Cloud { call, reply: CloudReply::Failed });
         }
+        let rental = matches!(request, CloudCall::Rent { .. });
         let reply = match request {
             CloudCall::Types => CloudReply::Types(machine_types()),
             CloudCall::Rent { name, kind, zone, spot, count } => {
@@ -71,9 +72,16 @@
                 CloudReply::Page { machines, more: false }
             }
         };
-        if !late {
-            self.tell(node, life, Command::Cloud { call, reply });
+        if late {
+            return;
         }
+        let command = Command::Cloud { call, reply };
+        if rental && self.now < self.slow_rentals {
+            self.cover("the cloud took seconds to answer a request for machines");
+            let d = ms(self.rng.random_range(2_000..4_000));
+            return self.after(d, Event::ToNode { node, life, command: Box::new(command) });
+        }
+        self.tell(node, life, command);
     }
 
     /// How long a machine takes to come up, of which `usual` was drawn.
--- a/crates/seamfront-core/tests/world/faults.rs
+++ b/crates/seamfront-core/tests/world/faults.rs
@@ -140,6 +140,10 @@
     KeepReports {
         until: Micros,
     },
+    /// The cloud takes seconds to answer requests for machines.
+    SlowRentals {
+        until: Micros,
+    },
     /// Users ask about their jobs so many times as often.
     PollStorm {
         until: Micros,
@@ -300,6 +304,7 @@
             Fault::DelayCommands { until } => self.delay_commands_until = until,
             Fault::LoseCommitAnswers { until } => self.lose_commit_answers_until = until,
             Fault::KeepReports { until } => self.keep_reports_until = until,
+            Fault::SlowRentals { until } => self.slow_rentals = until,
             Fault::PollStorm { until, factor } => {
                 self.poll_storm = (until, factor);
                 self.at(self.now, Event::AskOften);
--- a/crates/seamfront-core/tests/world/mod.rs
+++ b/crates/seamfront-core/tests/world/mod.rs
@@ -169,6 +169,8 @@
     store: Store,
     outage: Micros,
     cloud_outage: Micros,
+    /// Until when the cloud takes seconds to answer requests for machines.
+    slow_rentals: Micros,
     watches: Vec<(usize, u64, CallId, StateCall, Micros)>,
     rented: BTreeMap<String, Vec<MachineId>>,
     machines_made: u32,
@@ -362,6 +364,7 @@
             store: Store::with(scale.page, scale.value_bytes, scale.txn_ops),
             outage: Micros::ZERO,
             cloud_outage: Micros::ZERO,
+            slow_rentals: Micros::ZERO,
             watches: Vec::new(),
             rented: BTreeMap::new(),
             machines_made: 0,
