--- a/crates/seamfront-core/src/job.rs
+++ b/crates/seamfront-core/src/job.rs
@@ -201,11 +201,13 @@
         self.ending.is_none()
     }
 
-    /// Nothing of it has begun, though it should soon have: see [`turn`]. It begins only once its image is fetched.
+    /// Nothing of it has begun, though it should soon have: see [`turn`]. Half of the time that is left then is for its
+    /// image; one that takes longer makes it earlier by as much.
     pub fn overdue(&self, wall: Micros, types: &[MachineType]) -> bool {
+        let last_third = BEGIN_WITHIN.over(3);
+        let longer = (self.spec.fetch_at_best(types) - last_third.over(2)).clamp(Micros::ZERO, last_third);
         let waited = wall - self.spec.submitted;
-        let reserve_within = BEGIN_WITHIN - self.spec.fetch_at_best(types).min(BEGIN_WITHIN.over(2));
-        self.tasks.is_empty() && self.done.count() == 0 && waited > reserve_within.times(2).over(3)
+        self.tasks.is_empty() && self.done.count() == 0 && waited > BEGIN_WITHIN - last_third - longer
     }
 
     /// How important a task of it is to those that might stop it. What began by its turn stands as high
--- a/crates/seamfront-core/src/types.rs
+++ b/crates/seamfront-core/src/types.rs
@@ -247,7 +247,7 @@
 /// Every job, the largest too, should have begun this long after its submission.
 pub const BEGIN_WITHIN: Micros = Micros::from_secs(240);
 
-/// The order of turns. What has not begun at all when two thirds of the time that its image leaves it are over
+/// The order of turns. What has not begun at all when two thirds of the time that it may take are over
 /// goes with the work that is one step more important, and before it: so nothing waits for ever
 /// behind an endless stream of better work. Of an array one task does: raised as a whole, the arrays of
 /// a long burst took the room of all ordinary work. This decides who is placed next and for whom machines
