--- a/crates/seamfront-core/tests/size.rs
+++ b/crates/seamfront-core/tests/size.rs
@@ -59,6 +59,17 @@
     day(901, fleet(3, 2_000, 1_000, 400));
 }
 
+/// As large as the operators' fleets and a quarter more, also as three controllers hold it.
+#[test]
+fn five_thousand_machines_and_seven_controllers() {
+    day(903, fleet(7, 5_000, 875, 250));
+}
+
+#[test]
+fn five_thousand_machines_and_three_controllers() {
+    day(904, fleet(3, 5_000, 2_500, 1_000));
+}
+
 /// Work follows what changes, not how many machines there are: with twice as many and the same jobs, a
 /// step looks at hardly more. (There are more steps, since each report is one.) A walk over a shard's machines
 /// in each step fails this.
