--- a/crates/seamfront-core/tests/on_call.rs
+++ b/crates/seamfront-core/tests/on_call.rs
@@ -174,3 +174,37 @@
         assert!(count(&w.coverage, "the cloud took seconds to answer a request for machines") > 3);
     }
 }
+
+/// One guest's sweep of thousands of tasks of seconds each, at the lowest priority, beside the others' work and with
+/// controllers that end: what it costs the state service grows with its running tasks and its ranges, not with its size.
+#[test]
+fn a_sweep_of_many_short_tasks_beside_the_others_work() {
+    const TASKS: u32 = 4_000;
+    for seed in 2_130..2_133 {
+        let mut w = World::sized(seed, Scale { machines: 16, most: 20, limits: [0; 10], ..SMALL });
+        w.quiet_from = ms(90_000);
+        for n in 0..30 {
+            let mut spec = w.job(n);
+            spec.team = ["a", "b", "c"][n as usize % 3].into();
+            let (id, service, at) = (spec.id.clone(), spec.kind == Kind::Service, 2_000 * i64::from(n));
+            w.submit(ms(at), spec);
+            if service {
+                w.cancel(ms(at + 60_000), id);
+            }
+        }
+        let mut sweep = w.job(99);
+        (sweep.kind, sweep.class, sweep.team, sweep.priority) =
+            (Kind::Array, "sweep".into(), "d".into(), Priority::BestEffort);
+        (sweep.tasks, sweep.need, sweep.image_mb) = (TASKS, Amounts::needed(0.25, 0.0, 0.25), 100);
+        (sweep.zone, sweep.one_zone, sweep.spread, sweep.spot) = (None, false, false, true);
+        (sweep.deadline, sweep.checkpoint, sweep.estimate) = (None, Micros::ZERO, ms(4_000));
+        w.submit(ms(15_000), sweep);
+        w.fault(ms(40_000), Fault::CrashHolder { claim: "leader", back: ms(5_000) });
+        w.fault(ms(60_000), Fault::CrashHolder { claim: "share/0", back: ms(300) });
+        w.run_until(ms(390_000));
+        assert_eq!(w.owed(), Vec::<String>::new(), "seed {seed}");
+        assert_eq!(w.not_served(), Vec::<String>::new(), "seed {seed}");
+        let writes: u32 = w.asked_of_store.values().map(|second| second.1).sum();
+        assert!(writes < TASKS, "seed {seed}: {writes} writes for {TASKS} tasks and thirty other jobs");
+    }
+}
