--- a/crates/seamfront-core/tests/fault_combinations.rs
+++ b/crates/seamfront-core/tests/fault_combinations.rs
@@ -253,7 +253,7 @@
 
 #[test]
 fn a_team_at_its_limit_as_the_leader_changes_and_machines_cannot_be_asked() {
-    let coverage = play(1_300..1_312, |w, _| {
+    let coverage = play(1_300..1_320, |w, _| {
         for n in 100..118 {
             let at = w.draw(500..80_000);
             submit(w, n, at, |s| {
