Tests: one list of claims, one way to draw a node and to see who is up, named faults

on_call.rs had its own copies of what fault_combinations.rs has, turns.rs wrote a loop and a count twice, the list of running controllers stood three times in the world's users, and two faults were kept as tuples.

--- a/crates/seamfront-core/tests/failing_jobs.rs
+++ b/crates/seamfront-core/tests/failing_jobs.rs
@@ -53,8 +53,8 @@
             self.held.shard.jobs.iter().filter(|(_, j)| j.failing()).map(|(id, _)| id.clone()).collect();
         self.held.with(now, |s, context| s.tick(context));
         self.held.with(now, |s, context| s.round(context));
-        for id in failing.iter().filter_map(|id| self.held.shard.jobs.get(id)) {
-            self.most_tried = self.most_tried.max(id.tasks.len());
+        for job in failing.iter().filter_map(|id| self.held.shard.jobs.get(id)) {
+            self.most_tried = self.most_tried.max(job.tasks.len());
         }
         for j in self.held.shard.jobs.values_mut() {
             for p in j.tasks.values_mut().filter(|p| p.phase == Phase::Recording) {
--- a/crates/seamfront-core/tests/fault_combinations.rs
+++ b/crates/seamfront-core/tests/fault_combinations.rs
@@ -5,7 +5,9 @@
 mod world;
 
 use seamfront_core::types::*;
-use world::script::{add_coverage, count, play, stream_of_small_jobs, teams_at_their_limits, Coverage};
+use world::script::{
+    add_coverage, any_node, count, play, stream_of_small_jobs, teams_at_their_limits, Coverage, SHARDS,
+};
 use world::{ms, Fault, World, NODES};
 
 /// The seeded world's jobs, with something changed.
@@ -19,12 +21,6 @@
     w.submit(ms(at), spec);
 }
 
-fn node(w: &mut World) -> usize {
-    w.draw(0..NODES as i64) as usize
-}
-
-const SHARDS: [&str; 3] = ["share/0", "share/1", "share/2"];
-
 /// Before all others: the state service refuses one holder alone, jobs are cancelled through the others, and a
 /// second later it is down for everybody, for longer than a cancellation has. Workers still report to the
 /// old holder, and some of the machines hang and go on.
@@ -40,7 +36,7 @@
             w.fault(ms(at + soon), Fault::CancelRunning { count, hang });
             w.fault(ms(at + spell), Fault::Outage { until: ms(at + spell + 34_000) });
             if w.draw(0..3) == 0 {
-                let node = node(w);
+                let node = any_node(w);
                 let back = ms(w.draw(50..900));
                 w.fault(ms(at + spell + 3_000), Fault::Crash { nodes: vec![node], back });
             }
@@ -72,7 +68,7 @@
             let at = 10_000 + 40_000 * k;
             // Longer than a lease of 12 s.
             let lasts = 20_000 + 12_000 * k;
-            let (node, zone) = (node(w), if k == 0 { "x" } else { "y" });
+            let (node, zone) = (any_node(w), if k == 0 { "x" } else { "y" });
             w.fault(ms(at), Fault::CutZone { zone, node, until: ms(at + lasts) });
             w.fault(ms(at + 5_000), Fault::CancelRunning { count: 4, hang: Micros::ZERO });
         }
@@ -314,7 +310,7 @@
             });
         }
         for k in 0..3 {
-            let node = node(w);
+            let node = any_node(w);
             w.fault(ms(10_000 + 25_000 * k), Fault::SlowNode { node, until: ms(25_000 + 25_000 * k) });
         }
     });
@@ -328,7 +324,7 @@
         for k in 0..4 {
             let at = 8_000 + 20_000 * k;
             let lasts = w.draw(3_000..18_000);
-            let node = node(w);
+            let node = any_node(w);
             w.fault(ms(at), Fault::PauseNode { node, until: ms(at + lasts) });
             w.fault(ms(at + 4_800), Fault::CancelRunning { count: 3, hang: Micros::ZERO });
         }
--- a/crates/seamfront-core/tests/on_call.rs
+++ b/crates/seamfront-core/tests/on_call.rs
@@ -6,15 +6,9 @@
 mod world;
 
 use seamfront_core::types::*;
-use world::script::{add_coverage, count, history, play, Coverage};
+use world::script::{add_coverage, any_node, count, history, play, Coverage, SHARDS};
 use world::{ms, Fault, Scale, World, NODES, SMALL};
 
-const SHARDS: [&str; 3] = ["share/0", "share/1", "share/2"];
-
-fn node(w: &mut World) -> usize {
-    w.draw(0..NODES as i64) as usize
-}
-
 /// Nothing that never comes up is paid for once the troubles are over, whoever has led since it was rented.
 #[test]
 fn machines_come_up_late_or_never_while_leaders_change() {
@@ -58,7 +52,7 @@
 #[test]
 fn controllers_are_silent_for_a_minute_while_jobs_are_cancelled() {
     let coverage = play(2_040..2_054, |w, _| {
-        let first = node(w);
+        let first = any_node(w);
         let second = (first + 1) % NODES;
         for (k, n) in [first, second, first].into_iter().enumerate() {
             let at = [8_000, 9_500, 71_500][k];
@@ -87,7 +81,7 @@
     let coverage = play(2_060..2_076, |w, _| {
         for k in 0..3 {
             let at = 9_000 + 26_000 * k;
-            let n = node(w);
+            let n = any_node(w);
             let until = ms(at + [5_000, 11_000, 24_000][w.draw(0..3) as usize]);
             let hold = w.draw(0..2) == 0;
             let fault = match w.draw(0..4) {
--- a/crates/seamfront-core/tests/turns.rs
+++ b/crates/seamfront-core/tests/turns.rs
@@ -154,17 +154,14 @@
         h.shard.add_job(Rc::new(whole(id, "u", Kind::Array, Priority::BestEffort)), 5, now);
     }
     rounds(&mut h, now, 1);
-    for j in h.shard.jobs.values_mut() {
-        j.tasks.values_mut().for_each(|p| p.phase = seamfront_core::job::Phase::Ordered);
-    }
+    order_all(&mut h);
     for id in ["j-0", "j-1"] {
         h.shard.add_job(Rc::new(whole(id, "t", Kind::Gang, Priority::Urgent)), 5, now);
     }
     for k in 1..4 {
         h.with(now + s(k), |s, context| s.round(context));
     }
-    let stopped = h.shard.jobs.values().flat_map(|j| j.tasks.values()).filter(|p| p.stop.is_some()).count();
-    assert_eq!(stopped, 1);
+    assert_eq!(stopped(&h), 1);
 }
 
 /// Machines of eight processors with their tasks of best effort ordered there, and room for two such tasks under the
@@ -192,6 +189,12 @@
     (h, gang)
 }
 
+/// Tasks that are being stopped.
+fn stopped(h: &Held) -> usize {
+    h.shard.jobs.values().flat_map(|j| j.tasks.values()).filter(|p| p.stop.is_some()).count()
+}
+
+/// The records of all placements are written.
 fn order_all(h: &mut Held) {
     for j in h.shard.jobs.values_mut() {
         j.tasks.values_mut().for_each(|p| p.phase = seamfront_core::job::Phase::Ordered);
@@ -207,8 +210,7 @@
     h.shard.add_job(Rc::new(gang("j-0", 2, now - BEGIN_WITHIN)), 5, now);
     h.shard.add_job(Rc::new(gang("j-1", 1, now)), 5, now);
     h.with(now + s(1), |s, context| s.round(context));
-    let stopped = h.shard.jobs.values().flat_map(|j| j.tasks.values()).filter(|p| p.stop.is_some()).count();
-    assert!(stopped > 0, "room is being freed");
+    assert!(stopped(&h) > 0, "room is being freed");
     assert_eq!((placed(&h, "j-0"), placed(&h, "j-1")), (0, 0));
 }
 
--- a/crates/seamfront-core/tests/world/cloud.rs
+++ b/crates/seamfront-core/tests/world/cloud.rs
@@ -86,7 +86,7 @@
 
     /// How long a machine takes to come up, of which `usual` was drawn.
     fn boot_time(&mut self, usual: Micros) -> Micros {
-        let (until, never, percent) = self.bad_boots;
+        let BadBoots { until, never, percent } = self.bad_boots;
         if self.now >= until {
             return usual;
         }
--- a/crates/seamfront-core/tests/world/faults.rs
+++ b/crates/seamfront-core/tests/world/faults.rs
@@ -306,10 +306,10 @@
             Fault::KeepReports { until } => self.keep_reports_until = until,
             Fault::SlowRentals { until } => self.slow_rentals = until,
             Fault::PollStorm { until, factor } => {
-                self.poll_storm = (until, factor);
+                self.poll_storm = PollStorm { until, factor };
                 self.at(self.now, Event::AskOften);
             }
-            Fault::BadBoots { until, never, percent } => self.bad_boots = (until, never, percent),
+            Fault::BadBoots { until, never, percent } => self.bad_boots = BadBoots { until, never, percent },
             Fault::FastBoots { until } => self.fast_boots_until = until,
             Fault::CloseLooks { until } => self.close_looks_until = until,
             Fault::InvalidRequests { until } => {
--- a/crates/seamfront-core/tests/world/mod.rs
+++ b/crates/seamfront-core/tests/world/mod.rs
@@ -111,6 +111,23 @@
     Nothing,
 }
 
+/// How machines that are rented boot for a while.
+#[derive(Clone, Copy, Default)]
+struct BadBoots {
+    until: Micros,
+    /// So many of a hundred never come up.
+    never: i64,
+    /// The others take so many percent of the usual time.
+    percent: i64,
+}
+
+/// Users ask so many times as often for a while.
+#[derive(Clone, Copy, Default)]
+struct PollStorm {
+    until: Micros,
+    factor: i64,
+}
+
 struct Node {
     engine: Option<Engine>,
     life: u64,
@@ -190,11 +207,9 @@
     /// Copies of reports that the next holder of a claim gets, with when they were sent.
     kept_reports: Vec<(Micros, Report)>,
     fast_boots_until: Micros,
-    /// Until when boots are bad, how many of a hundred never end, and how long the others take in percent.
-    bad_boots: (Micros, i64, i64),
+    bad_boots: BadBoots,
     close_looks_until: Micros,
-    /// Until when users ask more often, and how many times as often.
-    poll_storm: (Micros, i64),
+    poll_storm: PollStorm,
     /// Jobs that can never run: submitted, and never to be accepted.
     impossible: BTreeSet<JobId>,
     /// What the state service still takes in requests and in writes, in thousandths, and when that was counted.
@@ -383,9 +398,9 @@
             keep_reports_until: Micros::ZERO,
             kept_reports: Vec::new(),
             fast_boots_until: Micros::ZERO,
-            bad_boots: (Micros::ZERO, 0, 100),
+            bad_boots: BadBoots::default(),
             close_looks_until: Micros::ZERO,
-            poll_storm: (Micros::ZERO, 0),
+            poll_storm: PollStorm::default(),
             impossible: BTreeSet::new(),
             state_tokens: (0, 0, Micros::ZERO),
             ended: BTreeMap::new(),
--- a/crates/seamfront-core/tests/world/script.rs
+++ b/crates/seamfront-core/tests/world/script.rs
@@ -2,6 +2,14 @@
 
 use super::*;
 
+/// The claims on all shards.
+pub const SHARDS: [&str; NODES] = ["share/0", "share/1", "share/2"];
+
+/// Any controller.
+pub fn any_node(w: &mut World) -> usize {
+    w.draw(0..NODES as i64) as usize
+}
+
 impl World {
     pub fn job(&mut self, n: u32) -> JobSpec {
         let kind = [Kind::Array, Kind::Array, Kind::Gang, Kind::Service][self.rng.random_range(0..4)];
--- a/crates/seamfront-core/tests/world/users.rs
+++ b/crates/seamfront-core/tests/world/users.rs
@@ -7,8 +7,13 @@
 const STORM_STEP_MS: i64 = 200;
 
 impl World {
+    /// Controllers whose process runs.
+    fn nodes_up(&self) -> Vec<usize> {
+        (0..self.scale.nodes).filter(|k| self.nodes[*k].engine.is_some()).collect()
+    }
+
     pub(super) fn ask(&mut self, asked: Asked, command: impl FnOnce(ReplyTo) -> Command) {
-        let up: Vec<usize> = (0..self.scale.nodes).filter(|k| self.nodes[*k].engine.is_some()).collect();
+        let up = self.nodes_up();
         let again = match &asked {
             Asked::Submit { job } => Event::Submit { job: job.clone() },
             Asked::Poll { job } => Event::Poll { job: job.clone() },
@@ -58,7 +63,7 @@
     }
 
     pub(super) fn ask_all(&mut self, job: &JobId) {
-        for node in (0..self.scale.nodes).filter(|k| self.nodes[*k].engine.is_some()).collect::<Vec<_>>() {
+        for node in self.nodes_up() {
             let (id, spec) = (job.clone(), Box::new(self.truth.jobs[job].clone()));
             self.ask_once(node, Asked::Poll { job: job.clone() }, |to| Command::Poll { to, id });
             self.ask_once(node, Asked::Submit { job: job.clone() }, |to| Command::Submit { to, spec });
@@ -67,12 +72,12 @@
 
     /// Besides the usual question every few seconds, about each unfinished job and at any controller.
     pub(super) fn ask_often(&mut self) {
-        let (until, factor) = self.poll_storm;
+        let PollStorm { until, factor } = self.poll_storm;
         if self.now >= until {
             return;
         }
         self.after(ms(STORM_STEP_MS), Event::AskOften);
-        let up: Vec<usize> = (0..self.scale.nodes).filter(|k| self.nodes[*k].engine.is_some()).collect();
+        let up = self.nodes_up();
         let open: Vec<JobId> = self.accepted.iter().filter(|j| !self.told.contains_key(*j)).cloned().collect();
         for job in open.iter().filter(|_| !up.is_empty()) {
             for _ in 0..factor {
