Lease: duties with a single holder, their operation log, histories and hard cases

A package of its own with a deterministic core (DutyManager) and a thin driver; the store's port and the time type move there from the core, which re-exports them, so nothing stands twice. The program does not use it yet.

Found by the seeded histories and mended: a member whose registration went unanswered never took a duty again; a fenced change that went unanswered could be made after it was called a conflict, once its condition on a missing key held again.

--- a/crates/seamfront-core/src/port/mod.rs
+++ b/crates/seamfront-core/src/port/mod.rs
@@ -4,13 +4,12 @@
 
 mod cloud;
 mod peers;
-mod state;
 mod users;
 mod workers;
 
 pub use cloud::*;
 pub use peers::*;
-pub use state::*;
+pub use seamfront_lease::store::*;
 pub use users::*;
 pub use workers::*;
 
--- a/crates/seamfront-core/tests/evidence.rs
+++ b/crates/seamfront-core/tests/evidence.rs
@@ -4,7 +4,7 @@
 mod held;
 // Leases are not needed here.
 #[allow(dead_code)]
-#[path = "world/store.rs"]
+#[path = "../../seamfront-lease/tests/stand_ins/store.rs"]
 mod store;
 
 use held::{job, report, s, settings, Held, CLAIM};
--- a/crates/seamfront-core/tests/world/mod.rs
+++ b/crates/seamfront-core/tests/world/mod.rs
@@ -8,6 +8,7 @@
 mod old_version;
 pub mod script;
 mod state_service;
+#[path = "../../../seamfront-lease/tests/stand_ins/store.rs"]
 pub mod store;
 mod users;
 pub mod workers;
--- /dev/null
+++ b/crates/seamfront-lease/src/lib.rs
@@ -0,0 +1,26 @@
+//! Duties with a single holder, over a small key-value store with leases and transactions.
+//!
+//! A *duty* is work of which there must be one performer at a time, such as renting machines. Each duty has a claim
+//! in the store, attached to its holder's lease; the claim's version is the fencing token. What a holder does outside
+//! of the store is an *operation*: recorded under the token, performed, its outcome recorded. A successor settles the
+//! open operations of its predecessor before it begins its own.
+//!
+//! [`DutyManager`] is the deterministic core: commands go in, effects come out, time is an argument. [`driver`] is a
+//! thin loop round it. `docs/duties.md` holds the safety argument.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+pub mod driver;
+pub mod keys;
+pub mod log;
+pub mod manager;
+pub mod permit;
+pub mod port;
+pub mod record;
+pub mod settings;
+pub mod spread;
+pub mod store;
+pub mod time;
+pub mod view;
+
+pub use manager::DutyManager;
--- /dev/null
+++ b/crates/seamfront-lease/src/manager/mod.rs
@@ -0,0 +1,366 @@
+//! The one owner of a member's duties. Commands come in batches, effects go out; time is given, never asked for. Same
+//! commands, same times, same effects.
+
+use crate::keys;
+use crate::log::OperationLog;
+use crate::permit::{ClaimProof, Permit};
+use crate::port::*;
+use crate::record::{MemberRecord, MoveRecord, RecordError, SwitchRecord};
+use crate::settings::{LeaseSettings, SettingsError, StoreLimits};
+use crate::spread::MemberLoad;
+use crate::store::{StateCall, StateReply, Write};
+use crate::time::Micros;
+use crate::view::View;
+use std::collections::{BTreeMap, BTreeSet};
+use tracing::{info, warn};
+
+mod claims;
+mod handover;
+mod operations;
+mod session;
+mod switch;
+mod views;
+
+use session::Session;
+
+/// How long a refused or unanswered request rests before it is made again.
+const RETRY: Micros = Micros::from_millis(250);
+/// Fenced changes that wait for the store's rate at the most.
+const FENCED_WAITING: usize = 64;
+
+/// A claim as the view shows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct SeenClaim {
+    version: u64,
+    member: String,
+    lease: u64,
+}
+
+/// How far a holder has come.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Phase {
+    /// The log is being read.
+    Loading,
+    /// Operations of a predecessor are being settled.
+    Settling,
+    /// The duty is performed.
+    Active,
+    /// It goes to another member once nothing is under way.
+    HandingOver { to: String, since: Micros, sent: bool },
+}
+
+/// A duty that is held here.
+#[derive(Debug)]
+struct Holding {
+    token: u64,
+    since: Micros,
+    phase: Phase,
+    proof: ClaimProof,
+    /// A proof is needed before the next effect.
+    proof_wanted: bool,
+    log: OperationLog,
+    log_busy: bool,
+    log_next: Micros,
+}
+
+/// A duty, held here or not.
+#[derive(Debug)]
+struct Duty {
+    name: String,
+    claim: Option<SeenClaim>,
+    free_since: Option<Micros>,
+    claim_busy: bool,
+    claim_next: Micros,
+    /// The last token that was given up here. It is never acted on again, even if the store still has it as ours.
+    spent: u64,
+    holding: Option<Holding>,
+    /// A token that was lost, until its successor has been told.
+    lost: Option<u64>,
+    /// Not claimed before, since its log could not be read.
+    unreadable_until: Micros,
+    /// Wanted by the embedding program: to be handed over, to whom.
+    handover_wanted: Option<Option<String>>,
+}
+
+/// Another member's record, or our own, with its version.
+#[derive(Clone, Debug)]
+struct SeenMember {
+    record: MemberRecord,
+    version: u64,
+}
+
+/// What a request to the store is for.
+#[derive(Debug)]
+enum Pending {
+    Grant { sent: Micros },
+    Renew { sent: Micros, lease: u64 },
+    View,
+    Register { record: MemberRecord },
+    Unregister,
+    Version,
+    Claim { duty: usize, lease: u64, sent: Micros },
+    Prove { sent: Micros, claims: Vec<(usize, u64)> },
+    LogRead { duty: usize, token: u64 },
+    LogWrite { duty: usize, token: u64, sent: Micros },
+    Transfer { duty: usize, token: u64, to: String },
+    Release { duty: usize },
+    Switch,
+}
+
+/// The duties of one member.
+#[derive(Debug)]
+pub struct DutyManager {
+    settings: LeaseSettings,
+    now: Micros,
+    /// What is added to the given time, so that time never goes back here.
+    clock_offset: Micros,
+    effects: Vec<Effect>,
+    calls: BTreeMap<CallId, Pending>,
+    next_call: CallId,
+    session: Session,
+    view: View,
+    view_busy: bool,
+    view_next: Micros,
+    seen_keys: BTreeSet<String>,
+    members: BTreeMap<String, SeenMember>,
+    versions: BTreeMap<String, u64>,
+    switch: Option<SwitchRecord>,
+    former_claim: Option<u64>,
+    switch_busy: bool,
+    switch_next: Micros,
+    moves: BTreeMap<String, (MoveRecord, u64)>,
+    duties: Vec<Duty>,
+    prove_busy: bool,
+    prove_next: Micros,
+    /// Changes that the store takes now, in thousandths.
+    budget: i64,
+    budget_filled: Micros,
+    load: u64,
+    leaving: bool,
+    left: bool,
+    /// What has been complained of; each is told once.
+    told: BTreeSet<String>,
+}
+
+impl DutyManager {
+    /// A member that has just begun. Settings that could not work are refused.
+    pub fn new(settings: LeaseSettings) -> Result<DutyManager, SettingsError> {
+        settings.validate()?;
+        let duty = |name: &String| Duty {
+            name: name.clone(),
+            claim: None,
+            free_since: None,
+            claim_busy: false,
+            claim_next: Micros::ZERO,
+            spent: 0,
+            holding: None,
+            lost: None,
+            unreadable_until: Micros::ZERO,
+            handover_wanted: None,
+        };
+        Ok(DutyManager {
+            duties: settings.duties.iter().map(duty).collect(),
+            settings,
+            now: Micros::ZERO,
+            clock_offset: Micros::ZERO,
+            effects: Vec::new(),
+            calls: BTreeMap::new(),
+            next_call: 1,
+            session: Session::default(),
+            view: View::default(),
+            view_busy: false,
+            view_next: Micros::ZERO,
+            seen_keys: BTreeSet::new(),
+            members: BTreeMap::new(),
+            versions: BTreeMap::new(),
+            switch: None,
+            former_claim: None,
+            switch_busy: false,
+            switch_next: Micros::ZERO,
+            moves: BTreeMap::new(),
+            prove_busy: false,
+            prove_next: Micros::ZERO,
+            budget: 0,
+            budget_filled: Micros::ZERO,
+            load: 0,
+            leaving: false,
+            left: false,
+            told: BTreeSet::new(),
+        })
+    }
+
+    /// One step. `now` is a steady clock's; nothing is ever compared with another machine's clock.
+    pub fn step(&mut self, now: Micros, commands: Vec<Command>) -> Vec<Effect> {
+        self.advance(now);
+        for command in commands {
+            self.take(command);
+        }
+        self.tick();
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Duties that may be performed here now, with their tokens.
+    pub fn active(&self) -> Vec<(&str, u64)> {
+        let holding = |duty: &Duty| duty.holding.as_ref().filter(|h| h.phase == Phase::Active).map(|h| h.token);
+        self.duties.iter().filter_map(|duty| Some((duty.name.as_str(), holding(duty)?))).collect()
+    }
+
+    /// Whether a duty is held here, be it that its predecessor's operations are not settled yet.
+    pub fn holds(&self, duty: &str) -> bool {
+        self.index(duty).is_some_and(|index| self.duties[index].holding.is_some())
+    }
+
+    /// The right to begin an effect of a duty now, if there is one without another request to the store.
+    pub fn permit(&self, duty: &str) -> Option<Permit> {
+        let index = self.index(duty)?;
+        self.current_permit(index)
+    }
+
+    /// The settings that it runs with, limits included.
+    pub fn settings(&self) -> &LeaseSettings {
+        &self.settings
+    }
+
+    /// A clock that goes back is not the one that proofs were counted by: all of them are void.
+    fn advance(&mut self, now: Micros) {
+        let shifted = now + self.clock_offset;
+        if shifted >= self.now {
+            self.now = shifted;
+            return;
+        }
+        warn!(back_s = (self.now - shifted).as_secs_decimal(), "the steady clock went back; proving everything anew");
+        self.clock_offset = self.now - now;
+        self.session.proof.clear();
+        self.session.renew_next = self.now;
+        for holding in self.duties.iter_mut().filter_map(|duty| duty.holding.as_mut()) {
+            holding.proof.clear();
+        }
+    }
+
+    fn take(&mut self, command: Command) {
+        match command {
+            Command::Store { call, reply } => self.store_reply(call, reply),
+            Command::Begin { request, duty, payload } => self.begin(request, &duty, payload),
+            Command::Commit { request, duty, when, apply } => self.fenced_commit(request, &duty, when, apply),
+            Command::Performed { duty, operation, attempt, outcome } => {
+                let now = self.now;
+                let holding = self.index(&duty).and_then(|index| self.duties[index].holding.as_mut());
+                if let Some(holding) = holding {
+                    holding.log.performed(operation, attempt, outcome, now);
+                }
+            }
+            Command::SetLoad(load) => self.load = load,
+            Command::SetLimits(limits) => self.set_limits(limits),
+            Command::HandOver { duty, to } => {
+                if let Some(index) = self.index(&duty) {
+                    self.duties[index].handover_wanted = Some(to);
+                }
+            }
+            Command::Leave => self.leaving = true,
+            Command::FormerClaim(version) => self.former_claim = version,
+        }
+    }
+
+    fn tick(&mut self) {
+        self.fill_budget();
+        self.session_tick();
+        self.view_tick();
+        if self.left {
+            return;
+        }
+        self.switch_tick();
+        self.claims_tick();
+        self.handover_tick();
+        for index in 0..self.duties.len() {
+            self.operations_tick(index);
+        }
+        self.prove_tick();
+        self.leave_tick();
+    }
+
+    fn store_reply(&mut self, call: CallId, reply: StateReply) {
+        let Some(pending) = self.calls.remove(&call) else { return };
+        match pending {
+            Pending::Grant { sent } => self.granted(sent, reply),
+            Pending::Renew { sent, lease } => self.renewed(sent, lease, reply),
+            Pending::View => self.view_reply(reply),
+            Pending::Register { record } => self.registered(record, reply),
+            Pending::Unregister => self.unregistered(&reply),
+            Pending::Version => self.session.version_busy = false,
+            Pending::Claim { duty, lease, sent } => self.claimed(duty, lease, sent, reply),
+            Pending::Prove { sent, claims } => self.proved(sent, &claims, &reply),
+            Pending::LogRead { duty, token } => self.log_read(duty, token, reply),
+            Pending::LogWrite { duty, token, sent } => self.log_written(duty, token, sent, &reply),
+            Pending::Transfer { duty, token, to } => self.transferred(duty, token, &to, &reply),
+            Pending::Release { duty } => self.released(duty, &reply),
+            Pending::Switch => self.switched(&reply),
+        }
+    }
+
+    // ---- helpers -------------------------------------------------------------------------
+
+    fn index(&self, duty: &str) -> Option<usize> {
+        self.duties.iter().position(|d| d.name == duty)
+    }
+
+    fn store(&mut self, request: StateCall, pending: Pending) {
+        let call = self.next_number();
+        self.calls.insert(call, pending);
+        self.effects.push(Effect::Store { call, request });
+    }
+
+    /// A number that is never used again by this process, for calls and attempts.
+    fn next_number(&mut self) -> u64 {
+        self.next_call += 1;
+        self.next_call
+    }
+
+    /// Whether this is said for the first time.
+    fn tell_once(&mut self, what: String) -> bool {
+        self.told.insert(what)
+    }
+
+    fn complain(&mut self, error: &RecordError) {
+        if self.tell_once(error.to_string()) {
+            warn!(%error, "stored value set aside");
+        }
+    }
+
+    fn set_limits(&mut self, limits: StoreLimits) {
+        info!(?limits, "limits of the store");
+        self.settings.limits = limits;
+    }
+
+    fn fill_budget(&mut self) {
+        const MICROS_PER_SECOND: i64 = 1_000_000;
+        let rate = self.settings.limits.changes_per_second * 1_000;
+        let passed = (self.now - self.budget_filled).0.clamp(0, MICROS_PER_SECOND);
+        self.budget_filled = self.now;
+        self.budget = (self.budget + rate * passed / MICROS_PER_SECOND).min(rate);
+    }
+
+    fn spend(&mut self, changes: usize) {
+        self.budget -= changes as i64 * 1_000;
+    }
+
+    /// Whether the store takes another change now.
+    fn has_budget(&self) -> bool {
+        self.budget > 0
+    }
+
+    /// All members that are up, with what they hold.
+    fn loads(&self) -> Vec<MemberLoad> {
+        let holders = self.duties.iter().filter_map(|duty| duty.claim.as_ref().map(|claim| claim.member.as_str()));
+        let counts = crate::spread::count_by_holder(holders);
+        let load = |(name, seen): (&String, &SeenMember)| MemberLoad {
+            member: name.clone(),
+            duties: counts.get(name.as_str()).copied().unwrap_or(0),
+            load: seen.record.load,
+        };
+        self.members.iter().filter(|(_, seen)| !seen.record.leaving).map(load).collect()
+    }
+
+    fn claim_key(&self, index: usize) -> String {
+        keys::claim(&self.duties[index].name)
+    }
+}
--- /dev/null
+++ b/crates/seamfront-lease/src/manager/operations.rs
@@ -0,0 +1,234 @@
+//! Operations of the duties that are held: recording, performing, settling.
+
+use super::*;
+use crate::log::{FencedCommit, LogProgress, Reread};
+use crate::record::{self, LogRecord, RecordError};
+use serde_json::Value;
+
+/// After a log that could not be read, the duty is left alone for so long.
+const UNREADABLE_REST: Micros = Micros::from_secs(10);
+
+impl DutyManager {
+    pub(super) fn begin(&mut self, request: RequestId, duty: &str, payload: Value) {
+        let (most, limits) = (self.settings.open_operations, self.settings.limits);
+        let begun = match self.ready_holding(duty) {
+            Ok(holding) => holding.log.begin(request, payload, most, &limits),
+            Err(rejection) => Err(rejection),
+        };
+        if let Err(rejection) = begun {
+            self.effects.push(Effect::Rejected { request, rejection });
+        }
+    }
+
+    fn ready_holding(&mut self, duty: &str) -> Result<&mut Holding, Rejection> {
+        let index = self.index(duty).ok_or(Rejection::UnknownDuty)?;
+        let holding = self.duties[index].holding.as_mut().ok_or(Rejection::NotHeld)?;
+        match holding.phase {
+            Phase::Active => Ok(holding),
+            Phase::HandingOver { .. } => Err(Rejection::HandingOver),
+            Phase::Loading | Phase::Settling => Err(Rejection::NotHeld),
+        }
+    }
+
+    pub(super) fn operations_tick(&mut self, index: usize) {
+        self.log_read_tick(index);
+        self.phase_tick(index);
+        self.perform_tick(index);
+        self.log_write_tick(index);
+    }
+
+    // ---- the log -------------------------------------------------------------------------
+
+    /// The log is read after the claim was taken, when whatever a predecessor may still have under way fails.
+    fn log_read_tick(&mut self, index: usize) {
+        let now = self.now;
+        let duty = &mut self.duties[index];
+        let Some(holding) = duty.holding.as_mut() else { return };
+        let wanted = holding.phase == Phase::Loading || holding.log.unclear();
+        if !wanted || holding.log_busy || now < holding.log_next {
+            return;
+        }
+        holding.log_busy = true;
+        let (key, token) = (keys::log(&duty.name), holding.token);
+        self.store(StateCall::Get { key }, Pending::LogRead { duty: index, token });
+    }
+
+    pub(super) fn log_read(&mut self, index: usize, token: u64, reply: StateReply) {
+        if self.held_token(index) != Some(token) {
+            return;
+        }
+        let key = keys::log(&self.duties[index].name);
+        let stored = match reply {
+            StateReply::Entry(entry) => record::read::<LogRecord>(&key, &entry.value).map(|r| (entry.version, Some(r))),
+            StateReply::Missing => Ok((0, None)),
+            _ => {
+                let now = self.now;
+                if let Some(holding) = self.duties[index].holding.as_mut() {
+                    holding.log_busy = false;
+                    holding.log_next = now + RETRY;
+                }
+                return;
+            }
+        };
+        match stored {
+            Ok((version, record)) => self.log_known(index, version, record),
+            Err(error) => self.log_unreadable(index, &error),
+        }
+    }
+
+    fn log_known(&mut self, index: usize, version: u64, stored: Option<LogRecord>) {
+        let now = self.now;
+        let Some(holding) = self.duties[index].holding.as_mut() else { return };
+        holding.log_busy = false;
+        if holding.phase == Phase::Loading {
+            holding.log = OperationLog::loaded(holding.token, version, stored);
+            holding.phase = Phase::Settling;
+            let (open, duty) = (holding.log.open(), &self.duties[index].name);
+            if open > 0 {
+                info!(%duty, open, "settling operations of a predecessor");
+            }
+            return;
+        }
+        match holding.log.reread(version, stored.as_ref(), now) {
+            Reread::Applied(progress) => self.log_progress(index, progress),
+            Reread::NotApplied => {}
+            Reread::Foreign => self.lose(index, LossReason::TokenRefused),
+        }
+    }
+
+    /// Nothing is guessed and nothing deleted. The duty is given up, perhaps to a member that can read its log.
+    fn log_unreadable(&mut self, index: usize, error: &RecordError) {
+        self.complain(error);
+        let token = self.held_token(index);
+        self.lose(index, LossReason::UnreadableLog);
+        self.duties[index].unreadable_until = self.now + UNREADABLE_REST;
+        if let Some(token) = token {
+            self.remove_claim(index, token);
+        }
+    }
+
+    fn log_write_tick(&mut self, index: usize) {
+        let budget = self.has_budget();
+        let (now, limits) = (self.now, self.settings.limits);
+        let duty = &mut self.duties[index];
+        let Some(holding) = duty.holding.as_mut() else { return };
+        if !budget || now < holding.log_next || matches!(holding.phase, Phase::HandingOver { sent: true, .. }) {
+            return;
+        }
+        let Some(write) = holding.log.next_write(&limits) else { return };
+        let (key, token) = (keys::log(&duty.name), holding.token);
+        let mut when = vec![(keys::claim(&duty.name), token), (key.clone(), write.version)];
+        when.extend(write.when);
+        let mut apply = vec![Write::Put { key, value: write.value, lease: None }];
+        apply.extend(write.writes);
+        self.spend(apply.len());
+        let sent = self.now;
+        self.store(StateCall::Commit { when, apply }, Pending::LogWrite { duty: index, token, sent });
+    }
+
+    pub(super) fn log_written(&mut self, index: usize, token: u64, sent: Micros, reply: &StateReply) {
+        if self.token_refused(index, token, reply) {
+            return;
+        }
+        let now = self.now;
+        let log_key = keys::log(&self.duties[index].name);
+        let holding = self.duties[index].holding.as_mut().filter(|holding| holding.token == token);
+        let Some(holding) = holding else { return };
+        let progress = match reply {
+            StateReply::Committed { revision } => {
+                let progress = holding.log.written(*revision, now);
+                self.claim_proven(index, token, sent);
+                progress
+            }
+            StateReply::Refused => {
+                holding.log_next = now + RETRY;
+                holding.log.refused()
+            }
+            StateReply::Conflict { failed } if !failed.contains(&log_key) => holding.log.conflicted(failed.clone()),
+            // A copy that came late has changed the log, or nobody knows.
+            _ => {
+                holding.log.write_unclear();
+                LogProgress::default()
+            }
+        };
+        self.log_progress(index, progress);
+    }
+
+    fn log_progress(&mut self, index: usize, progress: LogProgress) {
+        let duty = self.duties[index].name.clone();
+        for (request, operation) in progress.began {
+            self.effects.push(Effect::Began { request, duty: duty.clone(), operation });
+        }
+        for (operation, settlement) in progress.settled {
+            self.effects.push(Effect::Settled { duty: duty.clone(), operation, settlement });
+        }
+        if let Some((request, outcome)) = progress.fenced {
+            self.effects.push(Effect::Committed { request, outcome });
+        }
+    }
+
+    // ---- performing ----------------------------------------------------------------------
+
+    /// The duty is active once all that a predecessor left open has been settled and the claim is proven.
+    fn phase_tick(&mut self, index: usize) {
+        let permitted = self.current_permit(index).is_some();
+        let duty = &mut self.duties[index];
+        let Some(holding) = duty.holding.as_mut() else { return };
+        if holding.phase != Phase::Settling || holding.log.unsettled() {
+            return;
+        }
+        if !permitted {
+            holding.proof_wanted = true;
+            return;
+        }
+        holding.phase = Phase::Active;
+        info!(duty = %duty.name, token = holding.token, "duty active");
+        let (name, token) = (duty.name.clone(), holding.token);
+        self.effects.push(Effect::Active { duty: name, token });
+    }
+
+    fn perform_tick(&mut self, index: usize) {
+        while let Some(name) = self.due_operation(index) {
+            let permit = self.current_permit(index);
+            let attempt = self.next_number();
+            let duty = &mut self.duties[index];
+            let Some(holding) = duty.holding.as_mut() else { return };
+            let Some(permit) = permit else {
+                holding.proof_wanted = true;
+                return;
+            };
+            let Some(operation) = holding.log.attempt(name, attempt) else { return };
+            let settling = name.token != holding.token;
+            let duty = duty.name.clone();
+            self.effects.push(Effect::Perform { duty, operation, attempt, permit, settling });
+        }
+    }
+
+    fn due_operation(&self, index: usize) -> Option<record::OperationName> {
+        let holding = self.duties[index].holding.as_ref()?;
+        match holding.phase {
+            Phase::Settling | Phase::Active => holding.log.due(self.now),
+            Phase::Loading | Phase::HandingOver { .. } => None,
+        }
+    }
+
+    // ---- fenced changes ------------------------------------------------------------------
+
+    pub(super) fn fenced_commit(
+        &mut self,
+        request: RequestId,
+        duty: &str,
+        when: Vec<(String, u64)>,
+        apply: Vec<Write>,
+    ) {
+        let limits = self.settings.limits;
+        let commit = FencedCommit { request, when, apply };
+        let accepted = match self.ready_holding(duty) {
+            Ok(holding) => holding.log.commit(commit, FENCED_WAITING, &limits),
+            Err(rejection) => Err(rejection),
+        };
+        if let Err(rejection) = accepted {
+            self.effects.push(Effect::Rejected { request, rejection });
+        }
+    }
+}
--- /dev/null
+++ b/crates/seamfront-lease/src/manager/session.rs
@@ -0,0 +1,245 @@
+//! The member's lease and its record in the store.
+
+use super::*;
+use crate::permit::LeaseProof;
+use crate::record::{self, VersionRecord, FORMAT};
+
+/// How often the member's record may be rewritten as its load changes.
+const LOAD_EVERY: Micros = Micros::from_secs(5);
+/// A change of load that others should know of.
+const LOAD_STEP: u64 = 20;
+
+/// A member's standing with the store.
+#[derive(Debug, Default)]
+pub(super) struct Session {
+    pub(super) lease: Option<u64>,
+    /// All leases that this process has had: their keys are no other process's.
+    own_leases: BTreeSet<u64>,
+    pub(super) proof: LeaseProof,
+    renew_busy: bool,
+    pub(super) renew_next: Micros,
+    /// Version of our record, once it is written under the present lease.
+    pub(super) registered: Option<u64>,
+    /// Whether it was written under any lease.
+    registered_once: bool,
+    written: Option<MemberRecord>,
+    register_busy: bool,
+    register_next: Micros,
+    load_next: Micros,
+    pub(super) version_busy: bool,
+    /// Another process runs under this name; this one takes no part any more.
+    pub(super) superseded: bool,
+}
+
+impl DutyManager {
+    pub(super) fn session_tick(&mut self) {
+        if self.session.superseded || self.left {
+            return;
+        }
+        self.renew_tick();
+        self.register_tick();
+        self.version_tick();
+    }
+
+    fn renew_tick(&mut self) {
+        if self.session.renew_busy || self.now < self.session.renew_next {
+            return;
+        }
+        self.session.renew_busy = true;
+        let sent = self.now;
+        match self.session.lease {
+            None => self.store(StateCall::Grant { ttl: self.settings.lease }, Pending::Grant { sent }),
+            Some(lease) => self.store(StateCall::Renew { lease }, Pending::Renew { sent, lease }),
+        }
+    }
+
+    pub(super) fn granted(&mut self, sent: Micros, reply: StateReply) {
+        self.session.renew_busy = false;
+        let StateReply::Lease { id } = reply else {
+            self.session.renew_next = self.now + RETRY;
+            return;
+        };
+        info!(lease = id, "lease granted");
+        self.session.renew_next = self.now + self.settings.renew_every();
+        self.session.lease = Some(id);
+        self.session.own_leases.insert(id);
+        self.session.proof.renewed(sent);
+    }
+
+    pub(super) fn renewed(&mut self, sent: Micros, lease: u64, reply: StateReply) {
+        self.session.renew_busy = false;
+        if self.session.lease != Some(lease) {
+            return;
+        }
+        match reply {
+            StateReply::Renewed => {
+                self.session.proof.renewed(sent);
+                self.session.renew_next = sent + self.settings.renew_every();
+            }
+            StateReply::NoSuchLease => self.lease_ended(),
+            _ => self.session.renew_next = self.now + RETRY,
+        }
+    }
+
+    /// Everything that hung on the lease is gone.
+    pub(super) fn lease_ended(&mut self) {
+        warn!("lease ended; all duties are lost");
+        for index in 0..self.duties.len() {
+            self.lose(index, LossReason::LeaseEnded);
+        }
+        self.session.lease = None;
+        self.session.proof.clear();
+        self.session.registered = None;
+        self.session.written = None;
+        self.session.renew_next = self.now;
+    }
+
+    fn own_record(&self, lease: u64) -> MemberRecord {
+        MemberRecord { format: FORMAT, lease, load: self.load, leaving: self.leaving, settings: self.settings.shared() }
+    }
+
+    /// Writes the member's record, and rewrites it when others should know of a change.
+    fn register_tick(&mut self) {
+        let Some(lease) = self.session.lease else { return };
+        if !self.view.loaded() || self.session.register_busy || self.now < self.session.register_next {
+            return;
+        }
+        if self.settings_differ() {
+            return;
+        }
+        let record = self.own_record(lease);
+        if !self.worth_writing(&record) {
+            return;
+        }
+        let key = keys::member(&self.settings.member);
+        let stored = self.members.get(&self.settings.member);
+        let stranger = stored.is_some_and(|seen| !self.session.own_leases.contains(&seen.record.lease));
+        if stranger && self.session.registered_once {
+            return self.superseded();
+        }
+        // A former incarnation's record can be overwritten: that process can't come back.
+        let version = self.session.registered.or(stored.map(|seen| seen.version)).unwrap_or(0);
+        self.session.register_busy = true;
+        let value = record::write(&record);
+        let apply = vec![Write::Put { key: key.clone(), value, lease: Some(lease) }];
+        self.store(StateCall::Commit { when: vec![(key, version)], apply }, Pending::Register { record });
+    }
+
+    fn worth_writing(&self, record: &MemberRecord) -> bool {
+        let Some(written) = &self.session.written else { return true };
+        let load_changed = written.load.abs_diff(record.load) >= LOAD_STEP && self.now >= self.session.load_next;
+        written.lease != record.lease || written.leaving != record.leaving || load_changed
+    }
+
+    pub(super) fn registered(&mut self, record: MemberRecord, reply: StateReply) {
+        self.session.register_busy = false;
+        self.session.register_next = self.now + RETRY;
+        if self.session.lease != Some(record.lease) {
+            return;
+        }
+        match reply {
+            StateReply::Committed { revision } => {
+                self.session.registered = Some(revision);
+                self.session.registered_once = true;
+                self.session.load_next = self.now + LOAD_EVERY;
+                let own = SeenMember { record: record.clone(), version: revision };
+                self.members.insert(self.settings.member.clone(), own);
+                self.session.written = Some(record);
+            }
+            StateReply::NoSuchLease => self.lease_ended(),
+            // Which version stands there is not known: it is written once more, on what the view shows.
+            _ => {
+                self.session.registered = None;
+                self.session.written = None;
+            }
+        }
+    }
+
+    /// Two processes under one name would take every claim from each other. The one that came first gives way: the other
+    /// may be its successor.
+    pub(super) fn superseded(&mut self) {
+        if self.session.superseded {
+            return;
+        }
+        warn!(member = %self.settings.member, "another process has this member's name; this one stops");
+        self.session.superseded = true;
+        for index in 0..self.duties.len() {
+            self.lose(index, LossReason::Superseded);
+        }
+    }
+
+    pub(super) fn own_record_changed(&mut self, seen: Option<&SeenMember>) {
+        let Some(seen) = seen else { return };
+        if self.session.own_leases.contains(&seen.record.lease) {
+            if self.session.lease == Some(seen.record.lease) && self.session.registered.is_none() {
+                self.session.registered = Some(seen.version);
+                self.session.registered_once = true;
+                self.session.written = Some(seen.record.clone());
+            }
+            return;
+        }
+        if self.session.registered.is_some_and(|version| version < seen.version) {
+            self.superseded();
+        }
+    }
+
+    /// Whether another member that is up runs with other settings. A member that comes later doesn't register; of two
+    /// that came together the one with the later name steps back.
+    pub(super) fn settings_differ(&mut self) -> bool {
+        let own = self.settings.shared();
+        let me = &self.settings.member;
+        let registered = self.session.registered.is_some();
+        let others = self.members.iter().filter(|(name, _)| *name != me && (!registered || *name < me));
+        let difference = others.filter_map(|(name, seen)| Some((name.clone(), own.difference(&seen.record.settings)?)));
+        let Some((member, field)) = difference.min() else { return false };
+        if self.tell_once(format!("settings differ: {member} {field}")) {
+            warn!(member, field, "settings differ from another member's; no duty is taken");
+        }
+        true
+    }
+
+    /// Says once and for good that this member knows duties.
+    fn version_tick(&mut self) {
+        let known = self.versions.contains_key(&self.settings.member);
+        if known || self.session.version_busy || !self.view.loaded() || self.settings.former_claim.is_none() {
+            return;
+        }
+        self.session.version_busy = true;
+        let key = keys::version(&self.settings.member);
+        let value = record::write(&VersionRecord { format: FORMAT });
+        let apply = vec![Write::Put { key: key.clone(), value, lease: None }];
+        self.store(StateCall::Commit { when: vec![(key, 0)], apply }, Pending::Version);
+    }
+
+    pub(super) fn unregistered(&mut self, reply: &StateReply) {
+        self.session.register_busy = false;
+        let gone = matches!(reply, StateReply::Committed { .. } | StateReply::Conflict { .. });
+        if !gone {
+            self.session.register_next = self.now + RETRY;
+            return;
+        }
+        info!("left; all duties are handed over");
+        self.left = true;
+        self.effects.push(Effect::Left);
+    }
+
+    /// Removes the member's record once nothing is held any more.
+    pub(super) fn leave_tick(&mut self) {
+        let holds = self.duties.iter().any(|duty| duty.holding.is_some() || duty.claim_busy);
+        if !self.leaving || holds || self.session.register_busy || self.now < self.session.register_next {
+            return;
+        }
+        let told = self.session.written.as_ref().is_some_and(|record| record.leaving);
+        let (Some(version), true) = (self.session.registered, told) else {
+            if self.session.lease.is_none() || self.session.superseded {
+                self.left = true;
+                self.effects.push(Effect::Left);
+            }
+            return;
+        };
+        let key = keys::member(&self.settings.member);
+        self.session.register_busy = true;
+        let apply = vec![Write::Delete { key: key.clone() }];
+        self.store(StateCall::Commit { when: vec![(key, version)], apply }, Pending::Unregister);
+    }
+}
--- /dev/null
+++ b/crates/seamfront-lease/src/manager/views.rs
@@ -0,0 +1,137 @@
+//! The view of claims, members, requests to move duties, and the switch.
+
+use super::*;
+use crate::record::{self, ClaimRecord, VersionRecord};
+use crate::view::{Change, ViewUpdate};
+use serde::de::DeserializeOwned;
+
+const HOLD: Micros = Micros::from_secs(20);
+/// Changes are gathered for so long before the next request for more.
+const PAUSE: Micros = Micros::from_millis(50);
+
+impl DutyManager {
+    pub(super) fn view_tick(&mut self) {
+        if self.view_busy || self.now < self.view_next {
+            return;
+        }
+        self.view_busy = true;
+        let request = self.view.request(keys::CONTROL_PREFIX, HOLD);
+        self.store(request, Pending::View);
+    }
+
+    pub(super) fn view_reply(&mut self, reply: StateReply) {
+        self.view_busy = false;
+        self.view_next = self.now + PAUSE;
+        match self.view.take(reply) {
+            ViewUpdate::Failed => self.view_next = self.now + RETRY,
+            ViewUpdate::Partial => self.view_next = self.now,
+            ViewUpdate::Changed(changes) => {
+                for change in changes {
+                    self.changed(change);
+                }
+            }
+            ViewUpdate::Read { entries, revision } => self.view_read(entries, revision),
+        }
+    }
+
+    fn view_read(&mut self, entries: Vec<Change>, revision: u64) {
+        let present: BTreeSet<&String> = entries.iter().map(|entry| &entry.key).collect();
+        let gone: Vec<String> = self.seen_keys.iter().filter(|key| !present.contains(key)).cloned().collect();
+        for key in gone {
+            self.changed(Change { key, value: None, version: revision });
+        }
+        for entry in entries {
+            self.changed(entry);
+        }
+    }
+
+    fn changed(&mut self, change: Change) {
+        if change.value.is_some() {
+            self.seen_keys.insert(change.key.clone());
+        } else {
+            self.seen_keys.remove(&change.key);
+        }
+        let key = change.key.as_str();
+        if let Some(duty) = key.strip_prefix(keys::CLAIM_PREFIX) {
+            return self.claim_key_changed(duty, &change);
+        }
+        if let Some(member) = key.strip_prefix(keys::MEMBER_PREFIX) {
+            return self.member_changed(member, &change);
+        }
+        if let Some(member) = key.strip_prefix(keys::VERSION_PREFIX) {
+            return self.version_changed(member, &change);
+        }
+        if let Some(duty) = key.strip_prefix(keys::MOVE_PREFIX) {
+            return self.move_changed(duty, &change);
+        }
+        if key == keys::SWITCH {
+            self.switch = self.parse(&change);
+        }
+    }
+
+    /// None: gone, or set aside.
+    fn parse<T: DeserializeOwned>(&mut self, change: &Change) -> Option<T> {
+        match record::read(&change.key, change.value.as_ref()?) {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.complain(&error);
+                None
+            }
+        }
+    }
+
+    fn claim_key_changed(&mut self, duty: &str, change: &Change) {
+        let Some(index) = self.index(duty) else {
+            if self.tell_once(format!("unknown duty {duty}")) {
+                warn!(duty, "a claim on a duty that the settings do not name");
+            }
+            return;
+        };
+        let claim: Option<ClaimRecord> = self.parse(change);
+        if claim.is_none() && change.value.is_some() {
+            // Somebody holds it, whoever that is: it is not free.
+            let unknown = SeenClaim { version: change.version, member: String::new(), lease: 0 };
+            return self.claim_changed(index, Some(unknown), change.version);
+        }
+        let seen = claim.map(|c| SeenClaim { version: change.version, member: c.member, lease: c.lease });
+        self.claim_changed(index, seen, change.version);
+    }
+
+    fn member_changed(&mut self, member: &str, change: &Change) {
+        let older = self.members.get(member).is_some_and(|seen| seen.version > change.version);
+        if older {
+            return;
+        }
+        let record: Option<MemberRecord> = self.parse(change);
+        let seen = record.map(|record| SeenMember { record, version: change.version });
+        if member == self.settings.member {
+            self.own_record_changed(seen.as_ref());
+        } else if seen.is_some() && !self.settings.members.iter().any(|name| name == member) {
+            if self.tell_once(format!("unknown member {member}")) {
+                warn!(member, "a member that the settings do not name; it gets no duty from here");
+            }
+            return;
+        }
+        match seen {
+            Some(seen) => self.members.insert(member.to_owned(), seen),
+            None => self.members.remove(member),
+        };
+    }
+
+    fn version_changed(&mut self, member: &str, change: &Change) {
+        let record: Option<VersionRecord> = self.parse(change);
+        if record.is_some() {
+            self.versions.insert(member.to_owned(), change.version);
+        } else {
+            self.versions.remove(member);
+        }
+    }
+
+    fn move_changed(&mut self, duty: &str, change: &Change) {
+        let request: Option<MoveRecord> = self.parse(change);
+        match request {
+            Some(request) => self.moves.insert(duty.to_owned(), (request, change.version)),
+            None => self.moves.remove(duty),
+        };
+    }
+}
--- a/crates/seamfront-core/src/port/state.rs
+++ b/crates/seamfront-lease/src/store.rs
@@ -1,6 +1,6 @@
-//! The state service: requests and answers.
+//! The key-value store that leases, claims and logs are kept in: requests and answers.
 
-use crate::types::*;
+use crate::time::Micros;
 use serde_json::Value;
 
 /// A request to the state service.
--- /dev/null
+++ b/crates/seamfront-lease/src/view.rs
@@ -0,0 +1,98 @@
+//! A view of all keys with one prefix: read once, then kept up by long-lived requests for changes.
+
+use crate::store::{Entry, StateCall, StateReply};
+use crate::time::Micros;
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+/// One key's change, or what a reading showed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    /// Key.
+    pub key: String,
+    /// Its value; None if it is not there.
+    pub value: Option<Value>,
+    /// Revision of the change, or of the reading that did not show it.
+    pub version: u64,
+}
+
+/// What became of an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ViewUpdate {
+    /// Nothing new is known; ask again after a pause.
+    Failed,
+    /// A page of a reading; there are more.
+    Partial,
+    /// A whole reading. What is known and not in it is gone.
+    Read {
+        /// All keys.
+        entries: Vec<Change>,
+        /// The revision of the reading.
+        revision: u64,
+    },
+    /// Changes since.
+    Changed(Vec<Change>),
+}
+
+/// The view's progress. What it shows is kept by whoever owns it.
+#[derive(Debug, Default)]
+pub struct View {
+    loaded: bool,
+    seen: u64,
+    listing: Option<(u64, BTreeMap<String, Entry>)>,
+}
+
+impl View {
+    /// Whether all keys have been read once.
+    pub fn loaded(&self) -> bool {
+        self.loaded
+    }
+
+    /// The revision up to which all changes are in.
+    pub fn seen(&self) -> u64 {
+        self.seen
+    }
+
+    /// The next request.
+    pub fn request(&self, prefix: &str, hold: Micros) -> StateCall {
+        let prefix = prefix.to_owned();
+        if self.loaded && self.listing.is_none() {
+            return StateCall::Changes { prefix, after: self.seen, hold };
+        }
+        let after = self.listing.as_ref().and_then(|l| l.1.keys().next_back().cloned());
+        StateCall::List { prefix, after }
+    }
+
+    /// Takes the answer to the last request.
+    pub fn take(&mut self, reply: StateReply) -> ViewUpdate {
+        match reply {
+            StateReply::Page { entries, more, revision } => self.take_page(entries, more, revision),
+            StateReply::Changes { revision, events } => {
+                let seen = self.seen;
+                self.seen = seen.max(revision);
+                // Two answers may hold the same change; the older must not undo the newer.
+                let new = events.into_iter().filter(|event| event.2 > seen);
+                ViewUpdate::Changed(new.map(|(key, value, version)| Change { key, value, version }).collect())
+            }
+            StateReply::TooOld => {
+                self.loaded = false;
+                ViewUpdate::Partial
+            }
+            _ => ViewUpdate::Failed,
+        }
+    }
+
+    fn take_page(&mut self, entries: Vec<Entry>, more: bool, revision: u64) -> ViewUpdate {
+        let listing = self.listing.get_or_insert_with(|| (revision, BTreeMap::new()));
+        listing.1.extend(entries.into_iter().map(|entry| (entry.key.clone(), entry)));
+        if more {
+            return ViewUpdate::Partial;
+        }
+        let (first, entries) = self.listing.take().unwrap_or_default();
+        self.loaded = true;
+        self.seen = self.seen.max(first);
+        let entries = entries.into_values();
+        let entries = entries.map(|e| Change { key: e.key, value: Some(e.value), version: e.version }).collect();
+        ViewUpdate::Read { entries, revision: first }
+    }
+}
--- a/crates/seamfront-core/tests/world/store.rs
+++ b/crates/seamfront-lease/tests/stand_ins/store.rs
@@ -1,7 +1,7 @@
 //! Stand-in for the state service.
 
-use seamfront_core::port::*;
-use seamfront_core::types::Micros;
+use seamfront_lease::store::*;
+use seamfront_lease::time::Micros;
 use serde_json::Value;
 use std::collections::BTreeMap;
 
@@ -38,6 +38,12 @@
         Store { page, value_bytes, txn_ops, ..Store::default() }
     }
 
+    /// Takes less from now on.
+    pub fn limit(&mut self, value_bytes: usize, txn_ops: usize) {
+        self.value_bytes = value_bytes;
+        self.txn_ops = txn_ops;
+    }
+
     /// None: a watch with nothing to tell yet.
     pub fn execute(&mut self, now: Micros, call: &StateCall) -> Option<StateReply> {
         Some(match call {
--- a/crates/seamfront/tests/end_to_end.rs
+++ b/crates/seamfront/tests/end_to_end.rs
@@ -1,7 +1,7 @@
 //! The real binary on loopback against HTTP stand-ins: it accepts, runs, finishes and cancels, is
 //! killed and started again, and shows bad requests the door.
 
-#[path = "../../seamfront-core/tests/world/store.rs"]
+#[path = "../../seamfront-lease/tests/stand_ins/store.rs"]
 #[allow(dead_code)]
 mod store;
 
