--- a/crates/seamfront-lease/tests/hard_cases.rs
+++ b/crates/seamfront-lease/tests/hard_cases.rs
@@ -189,23 +189,29 @@
     assert!(matches!(replaced[..], [Effect::Replaced { successor, .. }] if *successor == expected), "{replaced:?}");
 }
 
+/// The lease may end a lease after the last renewal was *sent*, however late its answer came, and whatever transactions
+/// have shown since.
 #[test]
 fn a_proof_counts_from_its_sending() {
     let mut rig = Rig::active();
     rig.run(ms(4_000));
-    // The renewals that are sent now are answered late: by then they prove nothing.
     rig.now += ms(1_000);
     rig.step(Vec::new());
     let sent = rig.now;
-    let waiting = std::mem::take(&mut rig.waiting);
+    let index = rig.waiting.iter().position(|(_, request)| matches!(request, StateCall::Renew { .. }));
+    let (call, _) = rig.waiting.remove(index.expect("a renewal"));
     rig.now += ms(1_400);
-    for (call, request) in waiting {
-        if let Some(reply) = rig.store.execute(sent, &request) {
+    rig.step(vec![Command::Store { call, reply: StateReply::Renewed }]);
+    // All further renewals are refused; transactions are not.
+    rig.now += ms(1_100);
+    rig.begin(1);
+    for (call, request) in std::mem::take(&mut rig.waiting) {
+        let refused = matches!(request, StateCall::Renew { .. });
+        let reply = if refused { Some(StateReply::Refused) } else { rig.store.execute(rig.now, &request) };
+        if let Some(reply) = reply {
             rig.step(vec![Command::Store { call, reply }]);
         }
     }
-    rig.begin(1);
-    rig.answer_all();
     let permit = rig.manager.permit(DUTY).expect("a permit");
     assert!(permit.until <= sent + settings().acting_time(), "the lease is relied on beyond its time");
 }
--- /dev/null
+++ b/crates/seamfront/examples/duty_holder/main.rs
@@ -0,0 +1,266 @@
+//! A program that holds duties: together, processes of it keep a fleet of machines at a size. Start several with the same
+//! `--members`, each under its own name; stop, kill or freeze any of them.
+//!
+//! ```text
+//! duty_holder --member n0 --members n0,n1,n2 --state 127.0.0.1:7001 --cloud 127.0.0.1:7002
+//! ```
+
+#[path = "../../../seamfront-lease/examples/fleet/keeper.rs"]
+mod keeper;
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use clap::Parser;
+use futures_lite::FutureExt;
+use keeper::{Keeper, Work};
+use seamfront::http::Client;
+use seamfront::{cloud, state};
+use seamfront_core::port::{CloudCall, CloudReply, StateCall, StateReply};
+use seamfront_core::types::{MachineId, Micros};
+use seamfront_lease::driver::{Driver, Performer, SteadyClock, StoreClient};
+use seamfront_lease::port::{Command, Effect, Outcome};
+use seamfront_lease::record::{self, LogRecord, Operation, OperationName};
+use seamfront_lease::settings::{LeaseSettings, StoreLimits};
+use seamfront_lease::{keys, DutyManager};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+const TICK: Duration = Duration::from_millis(50);
+const LIST_EVERY: Micros = Micros::from_millis(300);
+/// One in so many ticks a machine is returned, so that there is always something to do.
+const RETURN_EVERY: u64 = 6;
+/// One in so many ticks the cloud's list is read.
+const LOOK_EVERY: u64 = 40;
+const PERFORM_TIME: Duration = Duration::from_secs(2);
+
+#[derive(Parser)]
+struct Args {
+    /// This member's name.
+    #[arg(long)]
+    member: String,
+    /// Names of all members.
+    #[arg(long, value_delimiter = ',')]
+    members: Vec<String>,
+    /// The state service.
+    #[arg(long)]
+    state: SocketAddr,
+    /// The cloud.
+    #[arg(long)]
+    cloud: SocketAddr,
+    /// Length of the lease in milliseconds.
+    #[arg(long, default_value_t = 4_000)]
+    lease_ms: i64,
+    /// The longest that the state service may take to answer, in milliseconds.
+    #[arg(long, default_value_t = 1_500)]
+    answer_ms: i64,
+    /// Machines to keep.
+    #[arg(long, default_value_t = 6)]
+    target: usize,
+}
+
+struct HttpStore {
+    client: Client,
+    addr: SocketAddr,
+}
+
+impl StoreClient for HttpStore {
+    async fn call(&self, request: StateCall) -> StateReply {
+        state::call(&self.client, self.addr, &request).await
+    }
+}
+
+struct HttpCloud {
+    client: Client,
+    addr: SocketAddr,
+    /// Machines of the operations that were performed here.
+    rented: RefCell<BTreeMap<OperationName, Vec<String>>>,
+}
+
+impl HttpCloud {
+    async fn rent(&self, duty: &str, operation: &Operation, count: usize) -> Outcome {
+        let name = keeper::order_name(duty, operation.name);
+        let (kind, zone) = ("small".to_owned(), "a".to_owned());
+        let request = CloudCall::Rent { name, kind, zone, spot: false, count: count as u32 };
+        match cloud::call(&self.client, self.addr, &request).await {
+            CloudReply::Rented(machines) => {
+                let machines: Vec<String> = machines.iter().map(|machine| machine.as_str().to_owned()).collect();
+                self.rented.borrow_mut().insert(operation.name, machines.clone());
+                keeper::rented(&machines)
+            }
+            CloudReply::NoCapacity => Outcome::NotDone,
+            _ => Outcome::Unknown,
+        }
+    }
+
+    async fn give_back(&self, machines: &[String]) -> Outcome {
+        let ids = machines.iter().map(|name| MachineId::from(name.as_str())).collect();
+        match cloud::call(&self.client, self.addr, &CloudCall::Delete { machines: ids }).await {
+            CloudReply::Deleted => keeper::returned(machines),
+            _ => Outcome::Unknown,
+        }
+    }
+}
+
+impl Performer for HttpCloud {
+    async fn perform(&self, duty: &str, operation: &Operation) -> Outcome {
+        match Work::of(operation) {
+            Some(Work::Rent { count }) => self.rent(duty, operation, count).await,
+            Some(Work::Return { machines }) => self.give_back(&machines).await,
+            None => Outcome::NotDone,
+        }
+    }
+}
+
+/// Decides what to do, beside the driver.
+struct Program {
+    keeper: Keeper,
+    client: Client,
+    state: SocketAddr,
+    cloud: Rc<HttpCloud>,
+    commands: Sender<Command>,
+    events: Receiver<Effect>,
+    ticks: u64,
+    list_next: Micros,
+}
+
+impl Program {
+    async fn run(mut self) {
+        loop {
+            Timer::after(TICK).await;
+            self.take_events();
+            self.read_lists().await;
+            self.take_events();
+            for command in self.decide().await {
+                if self.commands.send(command).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+
+    fn take_events(&mut self) {
+        while let Ok(event) = self.events.try_recv() {
+            let rented = self.cloud.rented.borrow();
+            let machines_of = |operation: &Operation| rented.get(&operation.name).cloned().unwrap_or_default();
+            self.keeper.told(&event, machines_of);
+        }
+    }
+
+    async fn read_lists(&mut self) {
+        let now = SteadyClock.now();
+        if !self.keeper.wants_list() || now < self.list_next {
+            return;
+        }
+        self.list_next = now + LIST_EVERY;
+        let number = self.keeper.list_begins();
+        let (Some(machines), Some(open)) = (self.recorded().await, self.open_orders().await) else { return };
+        // What came meanwhile may void the list.
+        self.take_events();
+        self.keeper.list_read(now, number, machines, &open);
+    }
+
+    async fn recorded(&self) -> Option<BTreeSet<String>> {
+        let mut machines = BTreeSet::new();
+        let mut after = None;
+        loop {
+            let request = StateCall::List { prefix: keeper::MACHINE_PREFIX.to_owned(), after };
+            let StateReply::Page { entries, more, .. } = state::call(&self.client, self.state, &request).await else {
+                return None;
+            };
+            after = entries.last().map(|entry| entry.key.clone());
+            let names = entries.iter().filter_map(|entry| entry.key.strip_prefix(keeper::MACHINE_PREFIX));
+            machines.extend(names.map(str::to_owned));
+            if !more {
+                return Some(machines);
+            }
+        }
+    }
+
+    async fn open_orders(&self) -> Option<BTreeSet<OperationName>> {
+        let key = keys::log(keeper::RENTING);
+        match state::call(&self.client, self.state, &StateCall::Get { key: key.clone() }).await {
+            StateReply::Entry(entry) => {
+                let log: LogRecord = record::read(&key, &entry.value).ok()?;
+                Some(log.open.into_iter().map(|operation| operation.name).collect())
+            }
+            StateReply::Missing => Some(BTreeSet::new()),
+            _ => None,
+        }
+    }
+
+    async fn decide(&mut self) -> Vec<Command> {
+        self.ticks += 1;
+        let mut commands: Vec<Command> = self.keeper.rent().into_iter().collect();
+        if self.ticks.is_multiple_of(RETURN_EVERY) {
+            commands.extend(self.keeper.give_back(self.ticks as usize));
+        }
+        if self.ticks.is_multiple_of(LOOK_EVERY) {
+            if let Some(listed) = self.listed_by_cloud().await {
+                commands.extend(self.keeper.take_in(SteadyClock.now(), &listed));
+            }
+        }
+        commands
+    }
+
+    async fn listed_by_cloud(&self) -> Option<BTreeSet<String>> {
+        let mut machines = BTreeSet::new();
+        let mut after = None;
+        loop {
+            let request = CloudCall::List { after };
+            let CloudReply::Page { machines: page, more } = cloud::call(&self.client, self.cloud.addr, &request).await
+            else {
+                return None;
+            };
+            after = page.last().map(|machine| machine.id.clone());
+            machines.extend(page.iter().map(|machine| machine.id.as_str().to_owned()));
+            if !more {
+                return Some(machines);
+            }
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).without_time().init();
+    let members: Vec<&str> = args.members.iter().map(String::as_str).collect();
+    let limits = StoreLimits { value_bytes: 32 * 1024, transaction_changes: 48, changes_per_second: 100 };
+    let duties = [keeper::RENTING, keeper::RETURNING, keeper::CLEANING];
+    let mut settings = LeaseSettings::new(&args.member, &members, &duties, limits);
+    settings.lease = Micros::from_millis(args.lease_ms);
+    settings.store_answer = Micros::from_millis(args.answer_ms);
+    let manager = match DutyManager::new(settings) {
+        Ok(manager) => manager,
+        Err(error) => {
+            eprintln!("duty_holder: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    let client = Client::default();
+    let (commands, command_queue) = async_channel::bounded(64);
+    let (event_queue, events) = async_channel::bounded(4_096);
+    let cloud = Rc::new(HttpCloud { client: client.clone(), addr: args.cloud, rented: RefCell::default() });
+    let driver = Driver {
+        store: Rc::new(HttpStore { client: client.clone(), addr: args.state }),
+        performer: cloud.clone(),
+        commands: command_queue,
+        events: event_queue,
+        perform_time: PERFORM_TIME,
+    };
+    let program = Program {
+        keeper: Keeper::new(args.target),
+        client,
+        state: args.state,
+        cloud,
+        commands,
+        events,
+        ticks: 0,
+        list_next: Micros::ZERO,
+    };
+    async_io::block_on(driver.run(manager).or(program.run()));
+    ExitCode::SUCCESS
+}
--- a/crates/seamfront/tests/end_to_end.rs
+++ b/crates/seamfront/tests/end_to_end.rs
@@ -1,184 +1,19 @@
 //! The real binary on loopback against HTTP stand-ins: it accepts, runs, finishes and cancels, is
 //! killed and started again, and shows bad requests the door.
 
-#[path = "../../seamfront-lease/tests/stand_ins/store.rs"]
-#[allow(dead_code)]
-mod store;
+mod stand_ins;
 
-use seamfront_core::port::{Entry, StateCall, StateReply, Write as Put};
-use seamfront_core::types::Micros;
 use serde_json::{json, Value};
+use stand_ins::http::{call, call_with_retry_after, serve};
+use stand_ins::state_service;
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-fn read_message(r: &mut BufReader<TcpStream>) -> Option<(String, Vec<u8>)> {
-    let (first, _, body) = read_whole_message(r)?;
-    Some((first, body))
-}
-
-/// First line, value of `Retry-After`, body.
-fn read_whole_message(r: &mut BufReader<TcpStream>) -> Option<(String, Option<u64>, Vec<u8>)> {
-    let mut first = String::new();
-    if r.read_line(&mut first).ok()? == 0 {
-        return None;
-    }
-    let mut length = 0;
-    let mut retry_after = None;
-    loop {
-        let mut line = String::new();
-        r.read_line(&mut line).ok()?;
-        if line.trim().is_empty() {
-            break;
-        }
-        let line = line.to_ascii_lowercase();
-        if let Some(n) = line.strip_prefix("content-length:") {
-            length = n.trim().parse().ok()?;
-        }
-        if let Some(n) = line.strip_prefix("retry-after:") {
-            retry_after = Some(n.trim().parse().ok()?);
-        }
-    }
-    let mut body = vec![0; length];
-    r.read_exact(&mut body).ok()?;
-    Some((first, retry_after, body))
-}
-
-/// A stand-in's server: one thread a connection.
-fn serve(handle: impl Fn(&str, &str, Value) -> (u16, Value) + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = listener.local_addr().unwrap();
-    let handle = Arc::new(handle);
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let handle = handle.clone();
-            std::thread::spawn(move || {
-                let mut out = stream.try_clone().unwrap();
-                let mut r = BufReader::new(stream);
-                while let Some((first, body)) = read_message(&mut r) {
-                    let mut words = first.split(' ');
-                    let (method, path) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
-                    let (status, reply) = handle(method, path, serde_json::from_slice(&body).unwrap_or(Value::Null));
-                    let text = reply.to_string();
-                    let head = format!("HTTP/1.1 {status} X\r\ncontent-length: {}\r\n\r\n", text.len());
-                    if out.write_all(format!("{head}{text}").as_bytes()).is_err() {
-                        break;
-                    }
-                }
-            });
-        }
-    });
-    addr
-}
-
-fn call(to: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, Value)> {
-    let (status, _, body) = call_with_retry_after(to, method, path, body)?;
-    Some((status, body))
-}
-
-fn call_with_retry_after(to: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, Option<u64>, Value)> {
-    let mut s = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
-    s.set_read_timeout(Some(Duration::from_secs(6))).ok()?;
-    let head = format!("{method} {path} HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n", body.len());
-    s.write_all(format!("{head}{body}").as_bytes()).ok()?;
-    let (first, retry_after, body) = read_whole_message(&mut BufReader::new(s))?;
-    let status = first.split(' ').nth(1)?.parse().ok()?;
-    Some((status, retry_after, serde_json::from_slice(&body).unwrap_or(Value::Null)))
-}
-
 // ---- stand-ins ---------------------------------------------------------------------------
 
-fn query(path: &str) -> BTreeMap<&str, &str> {
-    let q = path.split_once('?').map_or("", |p| p.1);
-    q.split('&').filter_map(|kv| kv.split_once('=')).collect()
-}
-
-fn pair(e: Entry) -> Value {
-    json!({"key": e.key, "data": e.value, "rasura": e.version})
-}
-
-fn state_service() -> SocketAddr {
-    let store = Arc::new(Mutex::new(store::Store::with_page(100)));
-    let begin = Instant::now();
-    serve(move |method, path, body| {
-        let q = query(path);
-        let text = |k: &str| q.get(k).map(|s| s.to_string());
-        let number = |k: &str| q.get(k).and_then(|s| s.parse::<u64>().ok()).unwrap_or(0);
-        let bare = path.split('?').next().unwrap_or("");
-        let hold = number("hold_ms");
-        let parts: Vec<&str> = bare.trim_start_matches('/').splitn(3, '/').collect();
-        let request = match (method, parts.as_slice()) {
-            ("GET", ["kv"]) => StateCall::List { prefix: text("prefix").unwrap_or_default(), after: text("after") },
-            ("GET", ["kv", ..]) => StateCall::Get { key: bare["/kv/".len()..].to_owned() },
-            ("GET", ["changes"]) => StateCall::Changes {
-                prefix: text("prefix").unwrap_or_default(),
-                after: number("after"),
-                hold: Micros::from_millis(hold as i64),
-            },
-            ("POST", ["grants"]) => StateCall::Grant { ttl: Micros::from_millis(body["ttl_ms"].as_i64().unwrap_or(0)) },
-            ("POST", ["grants", id, "renew"]) => StateCall::Renew { lease: id.parse().unwrap_or(0) },
-            _ => {
-                let list = |k: &str| body[k].as_array().cloned().unwrap_or_default();
-                let name = |v: &Value| v.as_str().unwrap_or("").to_owned();
-                let when = list("when").iter().map(|w| (name(&w["key"]), w["rasura"].as_u64().unwrap_or(0))).collect();
-                let apply = list("apply")
-                    .iter()
-                    .map(|a| match a.get("write") {
-                        Some(k) => Put::Put { key: name(k), value: a["data"].clone(), lease: a["vale"].as_u64() },
-                        None => Put::Delete { key: name(&a["remove"]) },
-                    })
-                    .collect();
-                StateCall::Commit { when, apply }
-            }
-        };
-        let end = Instant::now() + Duration::from_millis(hold.min(2_000));
-        loop {
-            let now = Micros(begin.elapsed().as_micros() as i64);
-            let mut s = store.lock().unwrap();
-            s.expire(now);
-            let mut request = request.clone();
-            if let StateCall::Changes { hold, .. } = &mut request {
-                if Instant::now() >= end {
-                    *hold = Micros::ZERO;
-                }
-            }
-            let reply = s.execute(now, &request);
-            drop(s);
-            let Some(reply) = reply else {
-                std::thread::sleep(Duration::from_millis(5));
-                continue;
-            };
-            return match reply {
-                StateReply::Entry(e) => (200, pair(e)),
-                StateReply::Missing => (404, json!({"caderno": 0})),
-                StateReply::Page { entries, more, revision } => {
-                    let pairs: Vec<Value> = entries.into_iter().map(pair).collect();
-                    (200, json!({"pairs": pairs, "more": more, "caderno": revision}))
-                }
-                StateReply::Committed { revision } => (200, json!({ "caderno": revision })),
-                StateReply::Conflict { failed } => (409, json!({"failed": failed, "caderno": 0})),
-                StateReply::Lease { id } => (200, json!({ "vale": id })),
-                StateReply::Renewed => (200, json!({})),
-                StateReply::NoSuchLease if method == "POST" && parts[0] == "commit" => {
-                    (400, json!({"error": "no such lease"}))
-                }
-                StateReply::Changes { revision, events } => {
-                    let event = |(k, v, r): (String, Option<Value>, u64)| match v {
-                        Some(v) => json!({"write": k, "data": v, "rasura": r}),
-                        None => json!({"remove": k, "rasura": r}),
-                    };
-                    let events: Vec<Value> = events.into_iter().map(event).collect();
-                    (200, json!({"caderno": revision, "events": events}))
-                }
-                _ => (404, json!({})),
-            };
-        }
-    })
-}
-
 type Cloud = Arc<Mutex<BTreeMap<String, Arc<Mutex<Worker>>>>>;
 
 fn cloud(controllers: Vec<SocketAddr>) -> (SocketAddr, Cloud) {
