Report: records of runs as histograms and counts, and a page made of them; a measurement of duties

The measurement runs in virtual time: time without a holder after a crash, a freeze, a cut and a handover, requests and changes at 3, 7 and 32 members, and the leader's claim of the scheduler after a crash beside them.

--- a/crates/seamfront-core/tests/world/mod.rs
+++ b/crates/seamfront-core/tests/world/mod.rs
@@ -608,7 +608,7 @@
         *self.coverage.entry(what).or_default() += 1;
     }
 
-    fn holder(&self, claim: &str) -> Option<usize> {
+    pub fn holder(&self, claim: &str) -> Option<usize> {
         let member = self.store.keys.get(claim)?.0.get("member")?.as_str()?.to_owned();
         self.settings.members.iter().position(|m| *m == member)
     }
--- a/crates/seamfront-lease/tests/hard_cases.rs
+++ b/crates/seamfront-lease/tests/hard_cases.rs
@@ -24,6 +24,13 @@
     LeaseSettings::new("n0", &["n0", "n1"], &[DUTY], LIMITS)
 }
 
+fn writes(request: &StateCall, key: &str) -> bool {
+    match request {
+        StateCall::Commit { apply, .. } => apply.iter().any(|w| matches!(w, Write::Put { key: k, .. } if k == key)),
+        _ => false,
+    }
+}
+
 /// A member, its store, and requests that the test holds back.
 struct Rig {
     now: Micros,
@@ -32,6 +39,8 @@
     told: Vec<Effect>,
     waiting: Vec<(CallId, StateCall)>,
     performing: Vec<(OperationName, u64)>,
+    /// Attempts to write the claim.
+    claims: usize,
 }
 
 impl Rig {
@@ -39,7 +48,7 @@
         let manager = DutyManager::new(settings).expect("settings");
         let store = Store::with(100, LIMITS.value_bytes, LIMITS.transaction_changes);
         let now = ms(1_000_000);
-        Rig { now, store, manager, told: Vec::new(), waiting: Vec::new(), performing: Vec::new() }
+        Rig { now, store, manager, told: Vec::new(), waiting: Vec::new(), performing: Vec::new(), claims: 0 }
     }
 
     /// A rig whose member holds the duty.
@@ -59,7 +68,10 @@
     fn step(&mut self, commands: Vec<Command>) {
         for effect in self.manager.step(self.now, commands) {
             match effect {
-                Effect::Store { call, request } => self.waiting.push((call, request)),
+                Effect::Store { call, request } => {
+                    self.claims += usize::from(writes(&request, &keys::claim(DUTY)));
+                    self.waiting.push((call, request));
+                }
                 Effect::Perform { ref operation, attempt, .. } => {
                     self.performing.push((operation.name, attempt));
                     self.told.push(effect);
@@ -91,11 +103,7 @@
 
     /// Takes the next request that is a commit with these changes out of what waits, without carrying it out.
     fn take_commit(&mut self, key: &str) -> (CallId, StateCall) {
-        let writes = |request: &StateCall| match request {
-            StateCall::Commit { apply, .. } => apply.iter().any(|w| matches!(w, Write::Put { key: k, .. } if k == key)),
-            _ => false,
-        };
-        let index = self.waiting.iter().position(|(_, request)| writes(request)).expect("no such commit waits");
+        let index = self.waiting.iter().position(|(_, request)| writes(request, key)).expect("no such commit waits");
         self.waiting.remove(index)
     }
 
@@ -330,11 +338,7 @@
     let call = loop {
         rig.now += ms(50);
         rig.step(Vec::new());
-        let claims = |(_, r): &(CallId, StateCall)| {
-            matches!(r, StateCall::Commit { apply, .. }
-                if apply.iter().any(|w| matches!(w, Write::Put { key, .. } if *key == keys::claim(DUTY))))
-        };
-        if rig.waiting.iter().any(claims) {
+        if rig.waiting.iter().any(|(_, request)| writes(request, &keys::claim(DUTY))) {
             let (call, commit) = rig.take_commit(&keys::claim(DUTY));
             rig.store.execute(rig.now, &commit);
             break call;
@@ -479,6 +483,7 @@
     rig.run(ms(10_000));
     assert_eq!(rig.token(), 0);
     assert_eq!(rig.store.keys[&keys::claim(DUTY)].0, json!({"format": 99}));
+    assert_eq!(rig.claims, 0, "taken for free");
 }
 
 #[test]
--- /dev/null
+++ b/crates/seamfront-report/src/plot.rs
@@ -0,0 +1,92 @@
+//! Plots as SVG.
+
+use crate::record::{made, Count, ReportError, Series};
+use plotters::coord::types::RangedCoordf64;
+use plotters::coord::Shift;
+use plotters::drawing::DrawingAreaErrorKind;
+use plotters::prelude::*;
+use std::collections::BTreeMap;
+
+const SIZE: (u32, u32) = (760, 380);
+const MARGIN: u32 = 12;
+const LABELS: u32 = 56;
+const MICROS_PER_SECOND: f64 = 1e6;
+/// The percentiles that a curve is drawn through.
+const STEPS: u32 = 200;
+const DOT: i32 = 4;
+
+/// What share of the durations lies below which time, a curve for each series.
+pub fn durations(title: &str, series: &[&Series]) -> Result<String, ReportError> {
+    let longest = series.iter().map(|s| s.durations.max()).max().unwrap_or(0) as f64 / MICROS_PER_SECOND;
+    let mut svg = String::new();
+    draw_durations(&mut svg, title, series, longest).map_err(|error| made(title, &error))?;
+    Ok(svg)
+}
+
+fn draw_durations(svg: &mut String, title: &str, series: &[&Series], longest: f64) -> Drawn<()> {
+    let area = area(svg, title)?;
+    let range = 0.0..(longest * 1.05).max(0.001);
+    let mut builder = ChartBuilder::on(&area);
+    builder.margin(MARGIN).x_label_area_size(LABELS).y_label_area_size(LABELS);
+    let mut chart = builder.build_cartesian_2d(range, 0.0..100.0)?;
+    chart.configure_mesh().x_desc("seconds").y_desc("percent of all").draw()?;
+    for (index, one) in series.iter().enumerate() {
+        let color = Palette99::pick(index).to_rgba();
+        let at = |step: u32| {
+            let percent = f64::from(step) * 100.0 / f64::from(STEPS);
+            (one.durations.value_at_percentile(percent) as f64 / MICROS_PER_SECOND, percent)
+        };
+        let drawn = chart.draw_series(LineSeries::new((0..=STEPS).map(at), color.stroke_width(2)))?;
+        drawn.label(&one.name).legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], color.stroke_width(2)));
+    }
+    legend(&mut chart)?;
+    area.present()?;
+    Ok(())
+}
+
+/// Counts over sizes, a line for each series.
+pub fn counts(title: &str, counts: &[&Count]) -> Result<String, ReportError> {
+    let mut svg = String::new();
+    draw_counts(&mut svg, title, counts).map_err(|error| made(title, &error))?;
+    Ok(svg)
+}
+
+fn draw_counts(svg: &mut String, title: &str, counts: &[&Count]) -> Drawn<()> {
+    let mut lines: BTreeMap<&str, Vec<(f64, f64)>> = BTreeMap::new();
+    for count in counts {
+        lines.entry(&count.series).or_default().push((count.size as f64, count.value));
+    }
+    let largest = counts.iter().map(|count| count.size).max().unwrap_or(1) as f64;
+    let most = counts.iter().map(|count| count.value).fold(0.0, f64::max);
+    let area = area(svg, title)?;
+    let mut builder = ChartBuilder::on(&area);
+    builder.margin(MARGIN).x_label_area_size(LABELS).y_label_area_size(LABELS);
+    let mut chart = builder.build_cartesian_2d(0.0..largest * 1.05, 0.0..(most * 1.1).max(1.0))?;
+    chart.configure_mesh().x_desc("size").draw()?;
+    for (index, (name, points)) in lines.into_iter().enumerate() {
+        let color = Palette99::pick(index).to_rgba();
+        let drawn = chart.draw_series(LineSeries::new(points.clone(), color.stroke_width(2)))?;
+        drawn.label(name).legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], color.stroke_width(2)));
+        chart.draw_series(points.into_iter().map(|point| Circle::new(point, DOT, color.filled())))?;
+    }
+    legend(&mut chart)?;
+    area.present()?;
+    Ok(())
+}
+
+type Drawn<T> = Result<T, DrawingAreaErrorKind<std::io::Error>>;
+type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+
+fn area<'a>(svg: &'a mut String, title: &str) -> Drawn<Area<'a>> {
+    let area = SVGBackend::with_string(svg, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    area.titled(title, ("sans-serif", 20))
+}
+
+type Chart<'a> = ChartContext<'a, SVGBackend<'a>, Cartesian2d<RangedCoordf64, RangedCoordf64>>;
+
+fn legend<'a>(chart: &mut Chart<'a>) -> Drawn<()> {
+    let mut labels = chart.configure_series_labels();
+    labels.background_style(WHITE.mix(0.85)).border_style(BLACK.mix(0.3)).position(SeriesLabelPosition::LowerRight);
+    labels.draw()
+}
--- /dev/null
+++ b/crates/seamfront/examples/measure_duties/main.rs
@@ -0,0 +1,157 @@
+//! Measures in virtual time how long duties are without a holder, and what they ask of the store, beside the leader's
+//! claim of the scheduler. Writes a record for `seamfront-report`.
+//!
+//! ```text
+//! cargo run --release -p seamfront --example measure_duties -- record.jsonl
+//! ```
+
+#[path = "../../../seamfront-lease/tests/stand_ins/cloud.rs"]
+#[allow(dead_code)]
+mod cloud;
+#[path = "../../../seamfront-lease/examples/fleet/keeper.rs"]
+#[allow(dead_code)]
+mod keeper;
+#[path = "../../../seamfront-core/tests/world/mod.rs"]
+#[allow(dead_code)]
+mod scheduler;
+#[path = "../../../seamfront-lease/tests/histories/world.rs"]
+#[allow(dead_code)]
+mod world;
+
+use scheduler::{store, Fault, Scale, SMALL};
+use seamfront_core::types::Micros;
+use seamfront_lease::port::Command;
+use seamfront_report::{Recorder, ReportError};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use world::{ms, World};
+
+const ROUNDS: u64 = 60;
+const MEMBERS: [usize; 3] = [3, 7, 32];
+const LONGEST: i64 = 120_000;
+const LOOK: i64 = 10;
+const AT_REST: i64 = 300;
+const GAPS: &str = "time without an active holder";
+const REQUESTS: &str = "requests to the store a minute, by members";
+const CHANGES: &str = "changes in the store a minute, by members";
+const DUTIES: f64 = 4.0;
+
+/// What happens to the holder.
+#[derive(Clone, Copy)]
+enum Trouble {
+    Crash,
+    Freeze,
+    Cut,
+    Handover,
+}
+
+const TROUBLES: [(Trouble, &str); 4] = [
+    (Trouble::Crash, "crash, back after 60 s"),
+    (Trouble::Freeze, "frozen for 60 s"),
+    (Trouble::Cut, "cut off from the store for 60 s"),
+    (Trouble::Handover, "handed over"),
+];
+
+/// From the trouble until another member is active.
+fn duty_gap(seed: u64, members: usize, trouble: Trouble) -> Option<Micros> {
+    let mut world = World::new(seed, members);
+    world.run_for(ms(25_000 + (seed as i64 * 137) % 1_000));
+    let holder = world.holder(keeper::RENTING)?;
+    let minute = ms(60_000);
+    match trouble {
+        Trouble::Crash => world.crash(holder, minute),
+        Trouble::Freeze => world.freeze(holder, minute),
+        Trouble::Cut => world.nodes[holder].refused = world.now + minute,
+        Trouble::Handover => {
+            world.command(holder, Command::HandOver { duty: keeper::RENTING.to_owned(), to: None });
+        }
+    }
+    let mut since = world.now;
+    let last = world.now + ms(LONGEST);
+    while world.now < last {
+        world.run_for(ms(LOOK));
+        match world.holder(keeper::RENTING) {
+            // A handover begins when the holder stops; until then it is active.
+            Some(now) if now == holder => since = world.now,
+            Some(_) => return Some(world.now - since),
+            None => {}
+        }
+    }
+    None
+}
+
+/// The same for the leader's claim, until another controller has it.
+fn leader_gap(seed: u64, members: usize) -> Option<Micros> {
+    let scale = Scale { nodes: members, ..SMALL };
+    let mut world = scheduler::World::sized(seed, scale);
+    world.run_until(ms(25_000 + (seed as i64 * 137) % 1_000));
+    let holder = world.holder("leader")?;
+    let begin = world.now;
+    world.fault(world.now, Fault::Crash { nodes: vec![holder], back: ms(60_000) });
+    while world.now < begin + ms(LONGEST) {
+        let next = world.now + ms(LOOK);
+        world.run_until(next);
+        if world.holder("leader").is_some_and(|now| now != holder) {
+            return Some(world.now - begin);
+        }
+    }
+    None
+}
+
+fn record_gaps(recorder: &mut Recorder, members: usize) -> Result<(), ReportError> {
+    for (trouble, name) in TROUBLES {
+        for seed in 0..ROUNDS {
+            let Some(gap) = duty_gap(seed, members, trouble) else { continue };
+            recorder.duration(GAPS, &format!("duty, {name}, {members} members"), gap.0 as u64)?;
+        }
+    }
+    if members < 32 {
+        for seed in 0..ROUNDS {
+            let Some(gap) = leader_gap(seed, members) else { continue };
+            recorder.duration(GAPS, &format!("leader's claim, crash, {members} members"), gap.0 as u64)?;
+        }
+    }
+    Ok(())
+}
+
+/// Requests and changes at rest, and while a machine is returned and another rented all the time.
+fn record_load(recorder: &mut Recorder, members: usize) {
+    for (churn, name) in [(false, "at rest"), (true, "while machines come and go")] {
+        let mut world = World::new(1, members);
+        world.churn = churn;
+        world.run_for(ms(40_000));
+        (world.requests, world.changes) = Default::default();
+        let rented = world.cloud.ledger.len();
+        world.run_for(ms(AT_REST * 1_000));
+        let minutes = AT_REST as f64 / 60.0;
+        let requests: u64 = world.requests.values().sum();
+        let size = members as u64;
+        recorder.count(REQUESTS, &format!("all duties, {name}"), size, requests as f64 / minutes);
+        recorder.count(CHANGES, &format!("each duty, {name}"), size, world.changes as f64 / minutes / DUTIES);
+        let machines = (world.cloud.ledger.len() - rented) as f64 / minutes;
+        println!("{members} members, {name}: {machines:.0} machines a minute, {:?}", world.requests);
+    }
+}
+
+fn measure(path: &std::path::Path) -> Result<(), ReportError> {
+    let mut recorder = Recorder::new("Duties: time without a holder, load on the store");
+    for members in MEMBERS {
+        record_gaps(&mut recorder, members)?;
+        record_load(&mut recorder, members);
+    }
+    recorder.write(path)
+}
+
+fn main() -> ExitCode {
+    let Some(path) = std::env::args_os().nth(1).map(PathBuf::from) else {
+        eprintln!("usage: measure_duties RECORD");
+        return ExitCode::from(2);
+    };
+    match measure(&path) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("measure_duties: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
