--- a/crates/seamfront-lease/src/manager/claims.rs
+++ b/crates/seamfront-lease/src/manager/claims.rs
@@ -45,7 +45,11 @@
         duty.lost = Some(holding.token);
         duty.handover_wanted = None;
         let name = duty.name.clone();
-        warn!(duty = %name, token = holding.token, %reason, "duty lost");
+        if reason == LossReason::HandedOver {
+            info!(duty = %name, token = holding.token, "duty given away");
+        } else {
+            warn!(duty = %name, token = holding.token, %reason, "duty lost");
+        }
         self.end_requests(holding.log.unfinished());
         self.effects.push(Effect::Lost { duty: name, token: holding.token, reason });
     }
--- a/crates/seamfront/src/lib.rs
+++ b/crates/seamfront/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod cloud;
 pub mod driver;
+pub mod duties;
 pub mod http;
 pub mod mesh;
 pub mod settings;
--- a/crates/seamfront/src/main.rs
+++ b/crates/seamfront/src/main.rs
@@ -1,7 +1,7 @@
 #![forbid(unsafe_code)]
 
 use clap::Parser;
-use seamfront::{driver, settings};
+use seamfront::{driver, duties, settings};
 use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -25,6 +25,12 @@
     /// Turn duties on, as `on = yes` in section `duties` of seamfront.ini does.
     #[arg(long)]
     duties: bool,
+    /// Print who holds which duty, and exit.
+    #[arg(long)]
+    show_duties: bool,
+    /// Ask the holder of a duty to hand it over, and exit.
+    #[arg(long, value_name = "DUTY=MEMBER")]
+    move_duty: Option<duties::MoveRequest>,
     /// The platform's settings (TOML).
     #[arg(long, value_name = "FILE")]
     config: PathBuf,
@@ -49,6 +55,9 @@
         let _ = writeln!(std::io::stdout(), "settings are valid");
         return ExitCode::SUCCESS;
     }
+    if args.show_duties || args.move_duty.is_some() {
+        return duty_command(&args, &settings);
+    }
     match driver::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
@@ -57,3 +66,18 @@
         }
     }
 }
+
+fn duty_command(args: &Args, settings: &settings::Service) -> ExitCode {
+    let moved = args.move_duty.as_ref().map_or(Ok(()), |request| duties::request_move(settings, request));
+    let shown = moved.and_then(|()| if args.show_duties { duties::show(settings) } else { Ok(String::new()) });
+    match shown {
+        Ok(text) => {
+            let _ = write!(std::io::stdout(), "{text}");
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            let _ = writeln!(std::io::stderr(), "seamfront: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
--- a/crates/seamfront/tests/end_to_end.rs
+++ b/crates/seamfront/tests/end_to_end.rs
@@ -5,10 +5,10 @@
 
 use serde_json::{json, Value};
 use stand_ins::http::{call, call_with_retry_after, serve};
+use stand_ins::process::{eventually, free_port, start};
 use stand_ins::state_service;
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
-use std::process::{Child, Command};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -152,38 +152,6 @@
 
 // ---- the run -----------------------------------------------------------------------------
 
-struct Controller(Child);
-
-impl Drop for Controller {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-fn free_port() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
-fn start(dir: &std::path::Path, text: &str) -> Controller {
-    let path = dir.join("settings.toml");
-    std::fs::write(&path, text).unwrap();
-    let program = env!("CARGO_BIN_EXE_seamfront");
-    Controller(Command::new(program).arg("--config").arg(path).env("LOG_LEVEL", "warn").spawn().unwrap())
-}
-
-/// Waits for what must come; only a run that hangs fails by the clock.
-fn eventually<T>(what: &str, mut f: impl FnMut() -> Option<T>) -> T {
-    let end = Instant::now() + Duration::from_secs(60);
-    while Instant::now() < end {
-        if let Some(t) = f() {
-            return t;
-        }
-        std::thread::sleep(Duration::from_millis(50));
-    }
-    panic!("never happened: {what}");
-}
-
 fn job(id: &str, kind: &str, tasks: u32, team: &str) -> String {
     json!({"id":id,"fornada":"c","equipe":team,"feitio":kind,"vez":"normal","paes":tasks,"cores":1.0,
         "accelerators":0.0,"ram_gb":1.0,"receita":"img","pull_gb":0.1,"modelos":null,"praca":null,"one_zone":false,
@@ -213,7 +181,7 @@
         .replace("127.0.0.1:8091", &peer.to_string())
         .replace("127.0.0.1:8443", &nobody.to_string())
         .replace("127.0.0.1:2379", &nobody.to_string());
-    let controller = start(&dir, &text);
+    let controller = start(&dir, &text, &[]);
     eventually("listening", || call(bind, "GET", "/up", ""));
     let asked = [
         ("POST", "/submissions", job("j-000001", "array", 1, "research")),
@@ -244,7 +212,7 @@
         .replace("127.0.0.1:8091", &peer.to_string())
         .replace("127.0.0.1:8443", &cloud.to_string())
         .replace("127.0.0.1:2379", &state.to_string());
-    let controller = start(&dir, &text);
+    let controller = start(&dir, &text, &[]);
     eventually("healthy", || call(bind, "GET", "/up", "").filter(|r| r.0 == 200));
 
     let submit = |body: &str| call(bind, "POST", "/submissions", body);
@@ -312,7 +280,7 @@
     assert_eq!((s, body["ponto"].as_str()), (201, Some("withdrawn")));
 
     drop(controller);
-    let controller = start(&dir, &text);
+    let controller = start(&dir, &text, &[]);
     eventually("service still known after a restart", || is("j-900001", "running"));
     assert_eq!(state_of("j-000010").as_deref(), Some("done"));
     let (s, body) =
--- a/crates/seamfront/tests/stand_ins/mod.rs
+++ b/crates/seamfront/tests/stand_ins/mod.rs
@@ -2,6 +2,8 @@
 
 #[allow(dead_code)]
 pub mod http;
+#[allow(dead_code)]
+pub mod process;
 #[path = "../../../seamfront-lease/tests/stand_ins/store.rs"]
 #[allow(dead_code)]
 pub mod store;
