Views: the scheduler's views and those of duties are one piece of code

Left over: the reading and keeping up of a view stood twice. The core's watches are built on seamfront-lease's View now; what reaches the engine, and in which order, is as before.

--- a/crates/seamfront-core/src/chains/answers.rs
+++ b/crates/seamfront-core/src/chains/answers.rs
@@ -10,9 +10,9 @@
             return;
         }
         let view = &self.store.watches[0];
-        if view.loaded && view.seen < revision {
+        if view.loaded() && view.seen() < revision {
             self.users.in_flight += polls.len();
-            let request = StateCall::Changes { prefix: "job/".to_owned(), after: view.seen, hold: Micros::ZERO };
+            let request = StateCall::Changes { prefix: "job/".to_owned(), after: view.seen(), hold: Micros::ZERO };
             return self.state(request, Pending::Refresh { polls, revision });
         }
         let until = self.now + UNCLEAR_FOR;
@@ -35,7 +35,7 @@
     pub(crate) fn refresh_reply(&mut self, polls: Vec<Question>, revision: u64, reply: StateReply) {
         self.users.in_flight -= polls.len();
         let new = self.apply_changes(0, reply);
-        if new && self.store.watches[0].loaded && self.store.watches[0].seen >= revision {
+        if new && self.store.watches[0].loaded() && self.store.watches[0].seen() >= revision {
             return self.answer_waiting(polls, revision);
         }
         for q in polls {
--- a/crates/seamfront-core/src/engine/mod.rs
+++ b/crates/seamfront-core/src/engine/mod.rs
@@ -50,7 +50,6 @@
 pub(crate) enum Pending {
     Grant,
     Renew,
-    List(usize),
     Watch(usize),
     Claim { slot: usize, lease: u64 },
     HandBack { slot: usize, version: u64 },
@@ -298,7 +297,6 @@
         }
         match pending {
             Pending::Grant | Pending::Renew => self.lease_reply(reply),
-            Pending::List(k) => self.list_reply(k, reply),
             Pending::Watch(k) => self.watch_reply(k, reply),
             Pending::Claim { slot, lease } => self.claim_reply(slot, lease, reply),
             Pending::HandBack { slot, version } => self.hand_back_reply(slot, version, &reply),
--- a/crates/seamfront-core/src/store_session/claims.rs
+++ b/crates/seamfront-core/src/store_session/claims.rs
@@ -183,10 +183,10 @@
     pub(crate) fn prove_reply(&mut self, sent: Micros, claims: Vec<(usize, u64)>, reply: StateReply) {
         match reply {
             StateReply::Committed { revision } => {
-                if self.store.watches[0].loaded && self.store.watches[0].seen >= revision {
+                if self.store.watches[0].loaded() && self.store.watches[0].seen() >= revision {
                     return self.proof_done(sent, &claims);
                 }
-                let after = self.store.watches[0].seen;
+                let after = self.store.watches[0].seen();
                 let request = StateCall::Changes { prefix: Topic::Jobs.prefix().to_owned(), after, hold: Micros::ZERO };
                 self.state(request, Pending::ProveView { sent, claims, revision });
             }
@@ -212,7 +212,7 @@
         revision: u64,
         reply: StateReply,
     ) {
-        if self.apply_changes(0, reply) && self.store.watches[0].loaded && self.store.watches[0].seen >= revision {
+        if self.apply_changes(0, reply) && self.store.watches[0].loaded() && self.store.watches[0].seen() >= revision {
             self.proof_done(sent, &claims);
         } else {
             self.store.prove_busy = false;
--- a/crates/seamfront-core/src/store_session/mod.rs
+++ b/crates/seamfront-core/src/store_session/mod.rs
@@ -7,8 +7,9 @@
 use crate::port::*;
 use crate::shard::{work_prefix, Shard, ShardPhase};
 use crate::types::*;
+use seamfront_lease::view::{View, ViewUpdate};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use tracing::{debug, info, warn};
 
@@ -63,18 +64,26 @@
     }
 }
 
-/// A view of all keys with one prefix, kept up by long-lived requests. Everything up to `seen` is in.
+/// A view of all keys with one prefix, and the request that keeps it up.
 #[derive(Debug, Default)]
 pub struct Watch {
-    /// Whether all keys have been read once.
-    pub loaded: bool,
-    /// The revision up to which all is in.
-    pub seen: u64,
-    listing: Option<(u64, BTreeMap<String, Entry>)>,
+    view: View,
     busy: bool,
     retry_at: Micros,
 }
 
+impl Watch {
+    /// Whether all keys have been read once.
+    pub fn loaded(&self) -> bool {
+        self.view.loaded()
+    }
+
+    /// The revision up to which all is in.
+    pub fn seen(&self) -> u64 {
+        self.view.seen()
+    }
+}
+
 /// A controller's standing with the state service.
 #[derive(Debug)]
 pub struct StoreSession {
@@ -135,14 +144,13 @@
 
     /// Whether all views are loaded.
     pub fn loaded(&self) -> bool {
-        self.watches.iter().all(|w| w.loaded)
+        self.watches.iter().all(Watch::loaded)
     }
 }
 
 const PROVE_EVERY: Micros = Micros::from_millis(1_000);
 const RETRY: Micros = Micros::from_millis(250);
 const HOLD: Micros = Micros::from_secs(20);
-const PAGE_LIMIT_HINT: usize = 1_000;
 
 impl Engine {
     pub(crate) fn slot_key(&self, slot: usize) -> String {
@@ -211,71 +219,53 @@
             return;
         }
         w.busy = true;
-        let prefix = TOPICS[k].prefix().to_owned();
-        if w.loaded && w.listing.is_none() {
-            let after = w.seen;
-            self.state(StateCall::Changes { prefix, after, hold: HOLD }, Pending::Watch(k));
-        } else {
-            let after = w.listing.as_ref().and_then(|l| l.1.keys().next_back().cloned());
-            self.state(StateCall::List { prefix, after }, Pending::List(k));
-        }
+        let request = w.view.request(TOPICS[k].prefix(), HOLD);
+        self.state(request, Pending::Watch(k));
     }
 
-    pub(crate) fn list_reply(&mut self, k: usize, reply: StateReply) {
+    pub(crate) fn watch_reply(&mut self, k: usize, reply: StateReply) {
+        let now = self.now;
+        let pause = self.cfg.ask_every();
         let w = &mut self.store.watches[k];
         w.busy = false;
-        let StateReply::Page { entries, more, revision } = reply else {
-            w.retry_at = self.now + RETRY;
-            return;
+        let update = w.view.take(reply);
+        w.retry_at = match &update {
+            ViewUpdate::Failed => now + RETRY,
+            // Not reopened at once: every change would cost each controller a request.
+            ViewUpdate::Changed { .. } | ViewUpdate::TooOld => now + pause,
+            ViewUpdate::Partial | ViewUpdate::Read { .. } => now,
         };
-        debug_assert!(entries.len() <= PAGE_LIMIT_HINT);
-        let listing = w.listing.get_or_insert_with(|| (revision, BTreeMap::new()));
-        for e in entries {
-            listing.1.insert(e.key.clone(), e);
-        }
-        if more {
-            return;
-        }
-        let Some((revision, entries)) = w.listing.take() else { return };
-        (w.loaded, w.seen) = (true, w.seen.max(revision));
-        for key in self.viewed_keys(TOPICS[k]) {
-            if !entries.contains_key(&key) {
-                self.changed(TOPICS[k], &key, None, revision);
-            }
-        }
-        for (key, e) in entries {
-            self.changed(TOPICS[k], &key, Some(e.value), e.version);
-        }
-    }
-
-    pub(crate) fn watch_reply(&mut self, k: usize, reply: StateReply) {
-        self.store.watches[k].busy = false;
-        // Not reopened at once: every change would cost each controller a request.
-        let pause = if self.apply_changes(k, reply) { self.cfg.ask_every() } else { RETRY };
-        self.store.watches[k].retry_at = self.now + pause;
+        self.view_updated(k, update);
     }
 
     /// True if the view is now as new as the answer.
     pub(crate) fn apply_changes(&mut self, k: usize, reply: StateReply) -> bool {
-        match reply {
-            StateReply::Changes { revision, events } => {
-                let seen = self.store.watches[k].seen;
-                for (key, value, version) in events {
-                    // Two answers may hold the same change; the older must not undo the newer.
-                    if version > seen {
-                        self.changed(TOPICS[k], &key, value, version);
-                    }
+        let update = self.store.watches[k].view.take(reply);
+        let new = matches!(update, ViewUpdate::Changed { .. } | ViewUpdate::TooOld);
+        self.view_updated(k, update);
+        new
+    }
+
+    fn view_updated(&mut self, k: usize, update: ViewUpdate) {
+        match update {
+            ViewUpdate::Changed { changes, revision } => {
+                for change in changes {
+                    self.changed(TOPICS[k], &change.key, change.value, change.version);
                 }
-                let w = &mut self.store.watches[k];
-                w.seen = w.seen.max(revision);
-                true
+                self.store.watches[k].view.reached(revision);
             }
-            StateReply::TooOld => {
-                warn!(prefix = TOPICS[k].prefix(), "view too old; reading anew");
-                self.store.watches[k].loaded = false;
-                true
+            ViewUpdate::Read { entries, revision } => {
+                let present: BTreeSet<&String> = entries.iter().map(|e| &e.key).collect();
+                let viewed = self.viewed_keys(TOPICS[k]);
+                for key in viewed.into_iter().filter(|key| !present.contains(key)).collect::<Vec<_>>() {
+                    self.changed(TOPICS[k], &key, None, revision);
+                }
+                for e in entries {
+                    self.changed(TOPICS[k], &e.key, e.value, e.version);
+                }
             }
-            _ => false,
+            ViewUpdate::TooOld => warn!(prefix = TOPICS[k].prefix(), "view too old; reading anew"),
+            ViewUpdate::Failed | ViewUpdate::Partial => {}
         }
     }
 
--- a/crates/seamfront-core/src/store_session/takeover.rs
+++ b/crates/seamfront-core/src/store_session/takeover.rs
@@ -21,12 +21,12 @@
                 continue;
             }
             let fleet = &self.store.watches[MACHINES];
-            if fleet.loaded && fleet.seen >= version {
+            if fleet.loaded() && fleet.seen() >= version {
                 let prefix = if reads_parts { parts_prefix(slot) } else { work_prefix(slot) };
                 let request = StateCall::List { prefix, after };
                 self.state(request, Pending::Records { shard: slot, version });
             } else {
-                let (prefix, after) = (Topic::Machines.prefix().to_owned(), fleet.seen);
+                let (prefix, after) = (Topic::Machines.prefix().to_owned(), fleet.seen());
                 let request = StateCall::Changes { prefix, after, hold: Micros::ZERO };
                 self.state(request, Pending::Fleet { shard: slot, version });
             }
@@ -39,7 +39,7 @@
     }
 
     pub(crate) fn fleet_reply(&mut self, slot: usize, version: u64, reply: StateReply) {
-        let new = self.store.watches[MACHINES].loaded && self.apply_changes(MACHINES, reply);
+        let new = self.store.watches[MACHINES].loaded() && self.apply_changes(MACHINES, reply);
         let again = self.now + RETRY;
         let Some(load) = self.load(slot, version) else { return };
         load.busy = false;
--- a/crates/seamfront-core/src/users.rs
+++ b/crates/seamfront-core/src/users.rs
@@ -389,7 +389,7 @@
                     info!(job = %spec.id, class = %spec.class, tasks = spec.tasks, "accepted");
                     let id = spec.id.clone();
                     // If the view is past this revision it knows better, be it of the job's end.
-                    if self.store.watches[0].seen < revision {
+                    if self.store.watches[0].seen() < revision {
                         self.job_appeared(spec, revision);
                     }
                     created.push(Question { to, id, created: true });
--- a/crates/seamfront-lease/src/manager/views.rs
+++ b/crates/seamfront-lease/src/manager/views.rs
@@ -24,11 +24,12 @@
         self.view_next = self.now + PAUSE;
         match self.view.take(reply) {
             ViewUpdate::Failed => self.view_next = self.now + RETRY,
-            ViewUpdate::Partial => self.view_next = self.now,
-            ViewUpdate::Changed(changes) => {
+            ViewUpdate::Partial | ViewUpdate::TooOld => self.view_next = self.now,
+            ViewUpdate::Changed { changes, revision } => {
                 for change in changes {
                     self.changed(change);
                 }
+                self.view.reached(revision);
             }
             ViewUpdate::Read { entries, revision } => self.view_read(entries, revision),
         }
--- a/crates/seamfront-lease/src/view.rs
+++ b/crates/seamfront-lease/src/view.rs
@@ -30,8 +30,15 @@
         /// The revision of the reading.
         revision: u64,
     },
-    /// Changes since.
-    Changed(Vec<Change>),
+    /// Changes since. Once they are taken in, [`View::reached`] is to be called with the revision.
+    Changed {
+        /// The changes, in order.
+        changes: Vec<Change>,
+        /// The revision up to which these are all.
+        revision: u64,
+    },
+    /// The changes asked for are not kept any more: all is read anew.
+    TooOld,
 }
 
 /// The view's progress. What it shows is kept by whoever owns it.
@@ -63,20 +70,24 @@
         StateCall::List { prefix, after }
     }
 
-    /// Takes the answer to the last request.
+    /// All changes up to this revision have been taken in.
+    pub fn reached(&mut self, revision: u64) {
+        self.seen = self.seen.max(revision);
+    }
+
+    /// Takes the answer to a request.
     pub fn take(&mut self, reply: StateReply) -> ViewUpdate {
         match reply {
             StateReply::Page { entries, more, revision } => self.take_page(entries, more, revision),
             StateReply::Changes { revision, events } => {
-                let seen = self.seen;
-                self.seen = seen.max(revision);
                 // Two answers may hold the same change; the older must not undo the newer.
-                let new = events.into_iter().filter(|event| event.2 > seen);
-                ViewUpdate::Changed(new.map(|(key, value, version)| Change { key, value, version }).collect())
+                let new = events.into_iter().filter(|event| event.2 > self.seen);
+                let changes = new.map(|(key, value, version)| Change { key, value, version }).collect();
+                ViewUpdate::Changed { changes, revision }
             }
             StateReply::TooOld => {
                 self.loaded = false;
-                ViewUpdate::Partial
+                ViewUpdate::TooOld
             }
             _ => ViewUpdate::Failed,
         }
--- a/crates/seamfront/examples/measure_duties/main.rs
+++ b/crates/seamfront/examples/measure_duties/main.rs
@@ -71,10 +71,11 @@
     while world.now < last {
         world.run_for(ms(LOOK));
         match world.holder(keeper::RENTING) {
-            // A handover begins when the holder stops; until then it is active.
-            Some(now) if now == holder => since = world.now,
-            Some(_) => return Some(world.now - since),
-            None => {}
+            // A handover begins when the holder stops; until then it is active. One that is frozen or cut off is not, though
+            // its claim is still there.
+            Some(now) if now == holder && matches!(trouble, Trouble::Handover) => since = world.now,
+            Some(now) if now != holder => return Some(world.now - since),
+            _ => {}
         }
     }
     None
