Duties: renting, returning and moving under claims and tokens of their own, where duties are on

Each effect of the leader's belongs to a duty and is fenced with that duty's claim: changes in the store by its version, requests to the cloud by a time until which they may be sent, checked just before. Until all controllers know duties the leader's claim carries them as before; then its holder ends it for good. The three are held by one member in calm hours, since they work on one picture. With duties off every fence is the leader's claim, as it was.

Before a mend the leader's state of before the switch stayed in the way of the new one: seen as no action at all.

--- a/crates/seamfront-core/src/cleaning.rs
+++ b/crates/seamfront-core/src/cleaning.rs
@@ -5,26 +5,19 @@
 //! can want the record. The end's version, the absence of the record's head and the duty's token are conditions of the
 //! removal.
 
+use crate::duties::CLEANING;
 use crate::engine::{Engine, Pending};
 use crate::port::*;
 use crate::types::*;
 use crate::users::end_key;
-use seamfront_lease::port::{Command as DutyCommand, CommitOutcome, Effect as DutyEffect, RequestId};
-use seamfront_lease::settings::{LeaseSettings, StoreLimits};
-use seamfront_lease::DutyManager;
+use seamfront_lease::port::{Command as DutyCommand, CommitOutcome, RequestId};
 use std::collections::BTreeMap;
-use tracing::{error, info};
+use tracing::info;
 
-/// Name of the duty.
-pub const CLEANING: &str = "cleaning";
 /// Time between two sweeps.
 const SWEEP_EVERY: Micros = Micros::from_secs(120);
 /// After an answer that tells nothing.
 const RETRY: Micros = Micros::from_secs(2);
-/// The longest that the adapters wait for the state service.
-const STORE_ANSWER: Micros = Micros::from_millis(1_500);
-/// The duty may use one part in so many of the writes that the store takes.
-const WRITES_PART: i64 = 20;
 /// A removal's conditions and changes beside the records: the claim, the log, the end, the head.
 const BESIDE: usize = 4;
 
@@ -48,10 +41,9 @@
     Reading { prefix: usize, after: Option<String>, more: bool, left: Vec<Leftover> },
 }
 
-/// The duty as this controller sees it.
-#[derive(Debug)]
+/// The duty while it is performed here.
+#[derive(Debug, Default)]
 pub(crate) struct Cleaning {
-    manager: DutyManager,
     sweep: Sweep,
     busy: bool,
     next: Micros,
@@ -60,53 +52,14 @@
     removed: usize,
 }
 
-/// The lease settings that follow from the controller's own.
-pub fn lease_settings(cfg: &Settings) -> LeaseSettings {
-    let members: Vec<&str> = cfg.members.iter().map(String::as_str).collect();
-    let limits = StoreLimits {
-        value_bytes: cfg.value_bytes,
-        transaction_changes: cfg.txn_ops,
-        changes_per_second: (cfg.write_rps / WRITES_PART).max(1),
-    };
-    let mut settings = LeaseSettings::new(&cfg.members[cfg.me], &members, &[CLEANING], limits);
-    settings.lease = cfg.tuning.claim_ttl;
-    settings.store_answer = STORE_ANSWER;
-    settings
-}
-
 impl Cleaning {
-    /// None where duties are off.
-    pub(crate) fn new(cfg: &Settings) -> Option<Cleaning> {
-        if !cfg.tuning.duties {
-            return None;
-        }
-        match DutyManager::new(lease_settings(cfg)) {
-            Ok(manager) => Some(Cleaning {
-                manager,
-                sweep: Sweep::Resting,
-                busy: false,
-                next: Micros::ZERO,
-                request: 0,
-                removed: 0,
-            }),
-            Err(error) => {
-                error!(%error, "duties are off: their settings can't be used");
-                None
-            }
-        }
-    }
-
-    fn active(&self) -> bool {
-        !self.manager.active().is_empty()
-    }
-
     fn next_request(&mut self) -> RequestId {
         self.request += 1;
         self.request
     }
 
     /// Ends the sweep; the next begins anew.
-    fn stop(&mut self, next: Micros) {
+    pub(crate) fn stop(&mut self, next: Micros) {
         self.sweep = Sweep::Resting;
         self.busy = false;
         self.next = next;
@@ -125,46 +78,13 @@
 }
 
 impl Engine {
-    /// Steps the duty, if duties are on.
-    pub(crate) fn cleaning_tick(&mut self) {
-        if self.cleaning.is_none() {
-            return;
-        }
-        self.duty_step(Vec::new());
-        self.sweep_tick();
-    }
-
-    pub(crate) fn duty_reply(&mut self, call: CallId, reply: StateReply) {
-        self.duty_step(vec![DutyCommand::Store { call, reply }]);
-    }
-
-    fn duty_step(&mut self, commands: Vec<DutyCommand>) {
-        let now = self.now;
-        let Some(cleaning) = self.cleaning.as_mut() else { return };
-        for effect in cleaning.manager.step(now, commands) {
-            self.duty_effect(effect);
-        }
-    }
-
-    fn duty_effect(&mut self, effect: DutyEffect) {
+    pub(crate) fn sweep_tick(&mut self) {
         let now = self.now;
-        match effect {
-            DutyEffect::Store { call, request } => self.state(request, Pending::Duty { call }),
-            DutyEffect::Active { .. } | DutyEffect::Lost { .. } => {
-                if let Some(cleaning) = self.cleaning.as_mut() {
-                    cleaning.stop(now);
-                }
-            }
-            DutyEffect::Committed { request, outcome } => self.removal_done(request, &outcome),
-            DutyEffect::Rejected { request, .. } => self.removal_done(request, &CommitOutcome::Refused),
-            _ => {}
+        if self.duty_token(CLEANING).is_none() {
+            return;
         }
-    }
-
-    fn sweep_tick(&mut self) {
-        let now = self.now;
-        let Some(cleaning) = self.cleaning.as_mut() else { return };
-        if cleaning.busy || now < cleaning.next || !cleaning.active() {
+        let cleaning = &mut self.cleaning;
+        if cleaning.busy || now < cleaning.next {
             return;
         }
         if let Sweep::Resting = cleaning.sweep {
@@ -193,7 +113,7 @@
 
     pub(crate) fn leftovers_reply(&mut self, reply: StateReply) {
         let now = self.now;
-        let Some(cleaning) = self.cleaning.as_mut() else { return };
+        let cleaning = &mut self.cleaning;
         cleaning.busy = false;
         let StateReply::Page { entries, more: further, .. } = reply else {
             return cleaning.stop(now + RETRY);
@@ -217,7 +137,7 @@
     pub(crate) fn leftover_end_reply(&mut self, reply: StateReply) {
         let now = self.now;
         let most = self.cfg.txn_ops.saturating_sub(BESIDE).max(1);
-        let Some(cleaning) = self.cleaning.as_mut() else { return };
+        let cleaning = &mut self.cleaning;
         cleaning.busy = false;
         let request = cleaning.request + 1;
         let Sweep::Reading { left, .. } = &mut cleaning.sweep else { return };
@@ -236,9 +156,9 @@
         self.duty_step(vec![command]);
     }
 
-    fn removal_done(&mut self, request: RequestId, outcome: &CommitOutcome) {
+    pub(crate) fn removal_done(&mut self, request: RequestId, outcome: &CommitOutcome) {
         let now = self.now;
-        let Some(cleaning) = self.cleaning.as_mut() else { return };
+        let cleaning = &mut self.cleaning;
         if request != cleaning.request {
             return;
         }
--- a/crates/seamfront-core/src/engine/mod.rs
+++ b/crates/seamfront-core/src/engine/mod.rs
@@ -12,6 +12,7 @@
 use crate::store_session::StoreSession;
 use crate::types::*;
 use crate::users::{EndRecord, Users, Wish};
+use seamfront_lease::DutyManager;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use tracing::{info, trace, warn};
@@ -103,7 +104,8 @@
     pub(crate) chains: Chains,
     pub(crate) formats: Formats,
     /// Where duties are on.
-    pub(crate) cleaning: Option<Cleaning>,
+    pub(crate) duties: Option<DutyManager>,
+    pub(crate) cleaning: Cleaning,
     pub(crate) types: Vec<MachineType>,
     types_busy: bool,
     types_next: Micros,
@@ -146,7 +148,8 @@
             users: Users::default(),
             chains: Chains::default(),
             formats: Formats::default(),
-            cleaning: Cleaning::new(&cfg),
+            duties: crate::duties::manager(&cfg),
+            cleaning: Cleaning::default(),
             types: Vec::new(),
             types_busy: false,
             types_next: Micros::ZERO,
@@ -207,7 +210,7 @@
         self.store_session_tick();
         self.types_tick();
         self.formats_tick();
-        self.cleaning_tick();
+        self.duties_tick();
         for k in 0..self.shards.len() {
             self.with_shard(k, |s, context| {
                 s.tick(context);
@@ -276,9 +279,10 @@
         self.effects.push(Effect::State { call, request });
     }
 
-    pub(crate) fn cloud(&mut self, request: CloudCall, pending: Pending) {
+    /// Asks the cloud; with a time, only until then.
+    pub(crate) fn cloud(&mut self, request: CloudCall, until: Option<Micros>, pending: Pending) {
         let call = self.call(pending);
-        self.effects.push(Effect::Cloud { call, request });
+        self.effects.push(Effect::Cloud { call, request, until });
     }
 
     pub(crate) fn answer(&mut self, to: ReplyTo, answer: Answer) {
@@ -333,7 +337,7 @@
                     },
                     StateReply::Missing => {
                         self.types_busy = true;
-                        self.cloud(CloudCall::Types, Pending::TypesAsked);
+                        self.cloud(CloudCall::Types, None, Pending::TypesAsked);
                     }
                     _ => {}
                 }
--- a/crates/seamfront-core/src/engine/peers.rs
+++ b/crates/seamfront-core/src/engine/peers.rs
@@ -102,11 +102,17 @@
             needs.truncate(NEEDS_MAX);
         }
         let message = MeshMessage::Shard { shard: k, version, needs, machines };
+        let me = self.cfg.me;
         if self.leader.is_some() {
-            let me = self.cfg.me;
-            self.mesh(me, message);
-        } else if let Some(to) = self.store.claims[self.leader_slot()].as_ref().map(|c| c.member) {
-            self.effects.push(Effect::Mesh { to, message });
+            self.mesh(me, message.clone());
+            if !self.duties_in_force() {
+                return;
+            }
+        }
+        for to in self.fleet_holders() {
+            if to != me || self.leader.is_none() {
+                self.effects.push(Effect::Mesh { to, message: message.clone() });
+            }
         }
     }
 
--- a/crates/seamfront-core/src/leader/mod.rs
+++ b/crates/seamfront-core/src/leader/mod.rs
@@ -2,6 +2,7 @@
 
 use crate::boots::Boots;
 use crate::capacity::{self, Offer, Picture, RentRecord, Supply};
+use crate::duties::FleetDuty;
 use crate::engine::{Engine, Pending};
 use crate::fleet::{machine_key, MachineRecord};
 use crate::port::*;
@@ -46,8 +47,8 @@
 
 /// The leader's own state.
 pub struct Leader {
-    /// Version of its claim.
-    pub version: u64,
+    /// Version of its claim; None where its work rests on duties, each with a token of its own.
+    pub version: Option<u64>,
     /// Requests left over by a former leader have been read.
     loaded: bool,
     loading: bool,
@@ -106,7 +107,7 @@
 
 impl Leader {
     /// A leader that has just begun.
-    pub fn new(version: u64, now: Micros, shards: usize) -> Leader {
+    pub fn new(version: Option<u64>, now: Micros, shards: usize) -> Leader {
         Leader {
             version,
             loaded: false,
@@ -135,10 +136,27 @@
             cloud_rest: now,
         }
     }
+
+    /// A duty begins here under a new token: answers to what was asked under another are not taken any more.
+    pub(crate) fn duty_begins(&mut self, duty: FleetDuty) {
+        self.writing.clear();
+        match duty {
+            FleetDuty::Renting => {
+                // Others may have begun and ended some meanwhile.
+                self.rents.clear();
+                self.adopting.clear();
+                self.listing.clear();
+                (self.loaded, self.loading) = (false, false);
+                (self.types_busy, self.list_busy) = (false, false);
+            }
+            FleetDuty::Returning => self.delete_busy = false,
+            FleetDuty::Moving => self.clearing.clear(),
+        }
+    }
 }
 
 /// What the answer to one of the leader's calls is for.
-pub enum LeaderCall {
+pub(crate) enum LeaderCall {
     /// Reading of the rentals that a former leader began.
     Rents {
         /// Records read so far.
@@ -160,14 +178,13 @@
     },
     /// Records of machines that are assigned.
     Machines {
+        /// The duty that assigns them.
+        duty: FleetDuty,
         /// Machines whose records are written.
         ids: Vec<MachineId>,
     },
     /// Removal of the records of machines that are gone.
-    Forget {
-        /// Machines whose records are removed.
-        ids: Vec<MachineId>,
-    },
+    Forget,
     /// The record of machine types.
     TypesWritten,
     /// The cloud's machine types.
@@ -186,53 +203,74 @@
     },
 }
 
-impl Engine {
-    fn leader_fence(&self) -> Option<(String, u64)> {
-        self.leader.as_ref().map(|l| ("leader".to_owned(), l.version))
+impl LeaderCall {
+    /// The duty that it belongs to.
+    pub(crate) fn duty(&self) -> FleetDuty {
+        match self {
+            LeaderCall::Machines { duty, .. } => *duty,
+            LeaderCall::Forget | LeaderCall::Delete { .. } => FleetDuty::Returning,
+            LeaderCall::Rents { .. }
+            | LeaderCall::RecordRent { .. }
+            | LeaderCall::SettleRent { .. }
+            | LeaderCall::TypesWritten
+            | LeaderCall::Types
+            | LeaderCall::List
+            | LeaderCall::Rent { .. } => FleetDuty::Renting,
+        }
     }
+}
+
+/// What may be done now.
+#[derive(Clone, Copy, Debug)]
+struct Rights {
+    rent: bool,
+    give_back: bool,
+    move_machines: bool,
+}
+
+impl Rights {
+    fn any(self) -> bool {
+        self.rent || self.give_back || self.move_machines
+    }
+}
 
+impl Engine {
     fn leader_commit(&mut self, mut when: Vec<(String, u64)>, apply: Vec<Write>, call: LeaderCall) {
-        let Some(fence) = self.leader_fence() else { return };
-        let version = fence.1;
-        when.insert(0, fence);
+        let duty = call.duty();
+        let Some(token) = self.fleet_token(duty) else { return };
+        when.insert(0, (self.fence_key(duty, token), token));
         self.write_budget -= apply.len() as i64 * 1_000;
-        self.state(StateCall::Commit { when, apply }, Pending::Leader { version, call });
+        self.state(StateCall::Commit { when, apply }, Pending::Leader { version: token, call });
     }
 
     fn leader_cloud(&mut self, request: CloudCall, call: LeaderCall) {
-        let Some(version) = self.leader.as_ref().map(|l| l.version) else { return };
-        self.cloud(request, Pending::Leader { version, call });
+        let Some(fence) = self.fence(call.duty()) else { return };
+        self.cloud(request, fence.until, Pending::Leader { version: fence.token, call });
     }
 
     pub(crate) fn leader_tick(&mut self) {
-        let slot = self.leader_slot();
-        if !self.acting(slot) {
+        let now = self.now;
+        if self.leader.is_none() {
             return;
         }
-        let now = self.now;
-        let Some(l) = self.leader.as_mut() else { return };
-        if !l.loaded {
-            if !l.loading {
-                l.loading = true;
-                let version = l.version;
-                let pending = Pending::Leader { version, call: LeaderCall::Rents { entries: Vec::new() } };
-                self.state(StateCall::List { prefix: "rent/".to_owned(), after: None }, pending);
-            }
+        let may = Rights {
+            rent: self.fence(FleetDuty::Renting).is_some(),
+            give_back: self.fence(FleetDuty::Returning).is_some(),
+            move_machines: self.fence(FleetDuty::Moving).is_some(),
+        };
+        if !may.any() || (may.rent && !self.rents_loaded()) {
             return;
         }
-        if !l.types_busy && now >= l.types_next && now >= l.cloud_rest {
-            l.types_busy = true;
-            self.leader_cloud(CloudCall::Types, LeaderCall::Types);
+        if may.rent {
+            self.types_and_list_tick();
+            self.rents_tick();
         }
-        let Some(l) = self.leader.as_mut() else { return };
-        if !l.list_busy && now >= l.list_next && now >= l.cloud_rest {
-            l.list_busy = true;
-            let after = l.listing.last().map(|m| m.id.clone());
-            self.leader_cloud(CloudCall::List { after }, LeaderCall::List);
+        if may.give_back {
+            self.deletes_tick();
+        }
+        if may.rent {
+            self.adopt_tick();
         }
-        self.rents_tick();
-        self.deletes_tick();
-        self.adopt_tick();
         let Some(l) = self.leader.as_mut() else { return };
         if now >= l.plan_next {
             l.plan_next = now + TICK;
@@ -244,7 +282,35 @@
             l.gone.retain(|_, t| now - *t < Micros::from_secs(180));
             let gone = &l.gone;
             l.boots.retain(|id| !gone.contains_key(id));
-            self.carry_out_plan();
+            self.carry_out_plan(may);
+        }
+    }
+
+    /// Whether the rentals that others have begun are read; begins to read them.
+    fn rents_loaded(&mut self) -> bool {
+        let Some(token) = self.fleet_token(FleetDuty::Renting) else { return false };
+        let Some(l) = self.leader.as_mut() else { return false };
+        if !l.loaded && !l.loading {
+            l.loading = true;
+            let pending = Pending::Leader { version: token, call: LeaderCall::Rents { entries: Vec::new() } };
+            self.state(StateCall::List { prefix: "rent/".to_owned(), after: None }, pending);
+            return false;
+        }
+        l.loaded
+    }
+
+    fn types_and_list_tick(&mut self) {
+        let now = self.now;
+        let Some(l) = self.leader.as_mut() else { return };
+        if !l.types_busy && now >= l.types_next && now >= l.cloud_rest {
+            l.types_busy = true;
+            self.leader_cloud(CloudCall::Types, LeaderCall::Types);
+        }
+        let Some(l) = self.leader.as_mut() else { return };
+        if !l.list_busy && now >= l.list_next && now >= l.cloud_rest {
+            l.list_busy = true;
+            let after = l.listing.last().map(|m| m.id.clone());
+            self.leader_cloud(CloudCall::List { after }, LeaderCall::List);
         }
     }
 
@@ -334,7 +400,7 @@
         self.leader_cloud(CloudCall::Delete { machines: ids.clone() }, LeaderCall::Delete { ids });
     }
 
-    fn carry_out_plan(&mut self) {
+    fn carry_out_plan(&mut self, may: Rights) {
         let now = self.now;
         let Some(l) = self.leader.as_ref() else { return };
         let mut needs = Vec::new();
@@ -378,7 +444,7 @@
             plan.returns.retain(|id| released.contains(id));
         }
         let asked_before = l.rents.len() >= 6;
-        if !asked_before && !self.types.is_empty() {
+        if may.rent && !asked_before && !self.types.is_empty() {
             for r in plan.rents {
                 self.start_rent(r);
             }
@@ -386,6 +452,13 @@
         let may_ask = self.leader.as_ref().is_some_and(|l| now >= l.move_next);
         let mut asks: BTreeMap<usize, Vec<MachineId>> = BTreeMap::new();
         let mut writes: Vec<(MachineId, Option<usize>)> = Vec::new();
+        if !may.move_machines {
+            plan.moves.clear();
+            plan.clear.clear();
+        }
+        if !may.give_back {
+            plan.returns.clear();
+        }
         let moves = plan.moves.into_iter().map(|(id, to)| (id, Some(to)));
         let returns = plan.returns.into_iter().map(|id| (id, None));
         for (id, to) in moves.chain(returns) {
@@ -419,8 +492,21 @@
         self.assign(writes);
     }
 
-    /// Moves released machines, all in one transaction: a gang gets its machines together.
+    /// Moves released machines and gives others up. Under one claim all of that is one transaction: a gang gets its
+    /// machines together. With a claim for each duty there is one for each.
     fn assign(&mut self, writes: Vec<(MachineId, Option<usize>)>) {
+        if self.leader.as_ref().is_some_and(|l| l.version.is_some()) {
+            return self.assign_under(FleetDuty::Moving, writes);
+        }
+        let (moved, given_up) = writes.into_iter().partition(|write| write.1.is_some());
+        self.assign_under(FleetDuty::Moving, moved);
+        self.assign_under(FleetDuty::Returning, given_up);
+    }
+
+    fn assign_under(&mut self, duty: FleetDuty, writes: Vec<(MachineId, Option<usize>)>) {
+        if self.fleet_token(duty).is_none() {
+            return;
+        }
         let (mut when, mut apply, mut ids, mut emptied) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
         for (id, to) in writes {
             let Some((record, version)) = self.machines.get(&id) else { continue };
@@ -440,14 +526,15 @@
             l.writing.extend(ids.iter().cloned());
             l.emptied.extend(emptied);
         }
-        self.leader_commit(when, apply, LeaderCall::Machines { ids });
+        self.leader_commit(when, apply, LeaderCall::Machines { duty, ids });
     }
 
     fn start_rent(&mut self, record: RentRecord) {
+        let Some(token) = self.fleet_token(FleetDuty::Renting) else { return };
         let Some(l) = self.leader.as_mut() else { return };
         l.counter += 1;
-        // Unique for ever: no two leaders have the same claim version.
-        let name = format!("r-{}-{}", l.version, l.counter);
+        // Unique for ever: no two claims have the same version.
+        let name = format!("r-{token}-{}", l.counter);
         info!(name, kind = %record.kind, zone = %record.zone, spot = record.spot, count = record.count, shard = record.shard, "renting");
         let value = serde_json::to_value(&record).unwrap_or_default();
         let rent = Rent { record, step: RentStep::Recording, asked_at: None, retry_at: Micros::ZERO, got: Vec::new() };
@@ -527,7 +614,7 @@
             ids.push(id);
         }
         l.writing.extend(ids.iter().cloned());
-        self.leader_commit(when, apply, LeaderCall::Machines { ids });
+        self.leader_commit(when, apply, LeaderCall::Machines { duty: FleetDuty::Renting, ids });
     }
 
     pub(crate) fn shard_told(&mut self, shard: usize, needs: Vec<Need>, machines: Vec<MachineView>) {
--- a/crates/seamfront-core/src/leader/replies.rs
+++ b/crates/seamfront-core/src/leader/replies.rs
@@ -5,13 +5,16 @@
 impl Engine {
     pub(crate) fn leader_state_reply(&mut self, version: u64, call: LeaderCall, reply: StateReply) {
         let now = self.now;
+        let duty = call.duty();
+        if self.fleet_token(duty) != Some(version) {
+            return;
+        }
         if let StateReply::Conflict { failed } = &reply {
-            if failed.iter().any(|f| f == "leader") && self.leader.as_ref().is_some_and(|l| l.version == version) {
-                let slot = self.leader_slot();
-                return self.drop_slot(slot, "claim proven lost");
+            if failed.contains(&self.fence_key(duty, version)) {
+                return self.fence_refused(duty, version);
             }
         }
-        let Some(l) = self.leader.as_mut().filter(|l| l.version == version) else { return };
+        let Some(l) = self.leader.as_mut() else { return };
         match call {
             LeaderCall::Rents { mut entries } => {
                 let (done, after) = match reply {
@@ -69,12 +72,12 @@
                     }
                 }
             },
-            LeaderCall::Machines { ids } => {
+            LeaderCall::Machines { ids, .. } => {
                 for id in ids {
                     l.writing.remove(&id);
                 }
             }
-            LeaderCall::Forget { .. } | LeaderCall::TypesWritten => {}
+            LeaderCall::Forget | LeaderCall::TypesWritten => {}
             LeaderCall::Types | LeaderCall::List | LeaderCall::Rent { .. } | LeaderCall::Delete { .. } => {}
         }
     }
@@ -82,7 +85,10 @@
     pub(crate) fn leader_cloud_reply(&mut self, version: u64, call: LeaderCall, reply: CloudReply) {
         let now = self.now;
         let lag = self.cfg.list_lag;
-        let Some(l) = self.leader.as_mut().filter(|l| l.version == version) else { return };
+        if self.fleet_token(call.duty()) != Some(version) {
+            return;
+        }
+        let Some(l) = self.leader.as_mut() else { return };
         if matches!(reply, CloudReply::Failed) {
             l.cloud_rest = now + Micros::from_millis(700);
         }
@@ -154,7 +160,7 @@
                     }
                     let apply = ids.iter().map(|id| Write::Delete { key: machine_key(id) }).collect();
                     // The owners learn of it from the records' removal; ours may know at once.
-                    self.leader_commit(vec![], apply, LeaderCall::Forget { ids });
+                    self.leader_commit(vec![], apply, LeaderCall::Forget);
                 }
             }
             _ => {}
--- a/crates/seamfront-core/src/lib.rs
+++ b/crates/seamfront-core/src/lib.rs
@@ -6,7 +6,8 @@
 pub mod boots;
 pub mod capacity;
 pub mod chains;
-pub mod cleaning;
+mod cleaning;
+pub mod duties;
 pub mod engine;
 pub mod fleet;
 mod formats;
--- a/crates/seamfront-core/src/port/mod.rs
+++ b/crates/seamfront-core/src/port/mod.rs
@@ -148,6 +148,8 @@
         call: CallId,
         /// The request.
         request: CloudCall,
+        /// It may be sent only before this time, by a clock read just then; else it has failed.
+        until: Option<Micros>,
     },
     /// Send a message to another controller.
     Mesh {
--- a/crates/seamfront-core/src/store_session/claims.rs
+++ b/crates/seamfront-core/src/store_session/claims.rs
@@ -19,7 +19,7 @@
 
     pub(crate) fn slot_version(&self, slot: usize) -> Option<u64> {
         if slot == self.leader_slot() {
-            self.leader.as_ref().map(|l| l.version)
+            self.leader.as_ref().and_then(|l| l.version)
         } else {
             self.shards[slot].as_ref().map(|s| s.version)
         }
@@ -32,7 +32,8 @@
             self.store.spent[slot] = version;
         }
         if slot == self.leader_slot() {
-            self.leader = None;
+            // Without a version it rests on duties, not on this claim.
+            self.leader = self.leader.take().filter(|l| l.version.is_none());
         } else {
             self.shards[slot] = None;
         }
@@ -49,6 +50,10 @@
             if self.store.claiming[slot] || self.slot_version(slot).is_some() {
                 continue;
             }
+            // The leader's claim has ended for good.
+            if slot == n && self.duties_in_force() {
+                continue;
+            }
             let expected = match &self.store.claims[slot] {
                 Some(c) if c.member == self.cfg.me && c.lease == lease && c.version > self.store.spent[slot] => {
                     // Ours, though the answer to the claim was lost.
@@ -114,7 +119,7 @@
         self.proven[slot] = None;
         self.store.prove_next = self.now;
         if slot == self.leader_slot() {
-            self.leader = Some(Leader::new(version, self.now, self.cfg.members.len()));
+            self.leader = Some(Leader::new(Some(version), self.now, self.cfg.members.len()));
             return;
         }
         let mut shard = Shard::new(slot, version, self.now);
--- a/crates/seamfront-core/tests/world/checks.rs
+++ b/crates/seamfront-core/tests/world/checks.rs
@@ -94,6 +94,19 @@
         }
     }
 
+    /// Whoever acts on the cloud under a duty holds it, and so by the store.
+    pub(super) fn check_duty(&mut self, node: usize, request: &CloudCall) {
+        let claim = match request {
+            CloudCall::Delete { .. } => "duty/claim/returning",
+            CloudCall::Types | CloudCall::List { .. } | CloudCall::Rent { .. } => "duty/claim/renting",
+        };
+        self.cover("a duty acted on the cloud");
+        if self.holder(claim) != Some(node) {
+            let t = self.now.as_secs_decimal();
+            self.truth.broken.push(format!("{t:.3} n{node} acts without {claim}: {request:?}"));
+        }
+    }
+
     pub(super) fn follow_claims(&mut self) {
         let shards = (0..self.scale.nodes).map(|k| format!("share/{k}"));
         for claim in shards.chain(["leader".to_owned()]) {
--- a/crates/seamfront-core/tests/world/mod.rs
+++ b/crates/seamfront-core/tests/world/mod.rs
@@ -525,7 +525,9 @@
                 n.life += 1;
                 n.called_cancelled.clear();
                 n.born = self.now;
-                n.engine = Some(Engine::new(settings(self.scale, node)));
+                let mut own = settings(self.scale, node);
+                own.tuning.duties &= !n.old;
+                n.engine = Some(Engine::new(own));
                 self.after(ms(1), Event::Tick { node });
             }
             Event::Tick { node } => {
@@ -608,6 +610,10 @@
         *self.coverage.entry(what).or_default() += 1;
     }
 
+    pub fn claim_version(&self, claim: &str) -> Option<u64> {
+        self.store.keys.get(claim).map(|entry| entry.1)
+    }
+
     pub fn holder(&self, claim: &str) -> Option<usize> {
         let member = self.store.keys.get(claim)?.0.get("member")?.as_str()?.to_owned();
         self.settings.members.iter().position(|m| *m == member)
@@ -637,7 +643,12 @@
                 let d = if slow { d + ms(self.rng.random_range(200..3_000)) } else { d };
                 self.after(d, Event::State { node, life, call, request, late: false })
             }
-            Effect::Cloud { call, request } => self.after(d, Event::Cloud { node, life, call, request, late: false }),
+            Effect::Cloud { call, request, until } => {
+                if until.is_some() {
+                    self.check_duty(node, &request);
+                }
+                self.after(d, Event::Cloud { node, life, call, request, late: false })
+            }
             Effect::Direct { call, machine, session, token, orders, .. } => {
                 self.check_orders(node, &orders);
                 let d = d + self.answer_delay();
--- a/crates/seamfront-lease/src/manager/claims.rs
+++ b/crates/seamfront-lease/src/manager/claims.rs
@@ -153,10 +153,27 @@
     fn our_turn(&mut self, index: usize) -> bool {
         let now = self.now;
         let since = *self.duties[index].free_since.get_or_insert(now);
+        if let Some(holder) = self.group_holder(index) {
+            let own = holder == self.settings.member;
+            let rank =
+                if own { 0 } else { 1 + spread::rank(&self.duties[index].name, &self.settings.member, &self.loads()) };
+            return now - since >= self.settings.takeover_step.times(rank as i64);
+        }
         let rank = spread::rank(&self.duties[index].name, &self.settings.member, &self.loads());
         now - since >= self.settings.takeover_step.times(rank as i64)
     }
 
+    /// Who holds most of the duties that belong together with this one.
+    pub(super) fn group_holder(&self, index: usize) -> Option<String> {
+        let together = &self.settings.together;
+        if !together.contains(&self.duties[index].name) {
+            return None;
+        }
+        let group = self.duties.iter().filter(|duty| together.contains(&duty.name));
+        let holders = group.filter_map(|duty| duty.claim.as_ref()).map(|claim| claim.member.as_str());
+        spread::group_holder(holders.filter(|member| self.members.contains_key(*member))).map(str::to_owned)
+    }
+
     pub(super) fn claimed(&mut self, index: usize, lease: u64, sent: Micros, reply: StateReply) {
         self.duties[index].claim_busy = false;
         match reply {
--- a/crates/seamfront-lease/src/manager/handover.rs
+++ b/crates/seamfront-lease/src/manager/handover.rs
@@ -61,6 +61,9 @@
         if held_for < self.settings.rebalance_after {
             return None;
         }
+        if self.settings.together.contains(&duty.name) {
+            return self.group_holder(index).filter(|holder| holder != me);
+        }
         let receiver = spread::receiver(me, &loads)?;
         Some(receiver.to_owned())
     }
--- a/crates/seamfront-lease/src/manager/mod.rs
+++ b/crates/seamfront-lease/src/manager/mod.rs
@@ -205,6 +205,27 @@
         self.duties.iter().filter_map(|duty| Some((duty.name.as_str(), holding(duty)?))).collect()
     }
 
+    /// The token of a duty that may be performed here.
+    pub fn token(&self, duty: &str) -> Option<u64> {
+        self.active().into_iter().find(|held| held.0 == duty).map(|held| held.1)
+    }
+
+    /// Who holds a duty, as far as this member sees.
+    pub fn holder(&self, duty: &str) -> Option<&str> {
+        let claim = self.duties[self.index(duty)?].claim.as_ref()?;
+        (!claim.member.is_empty()).then_some(claim.member.as_str())
+    }
+
+    /// Asks for a proof of a duty's claim where the permit has run out or soon will: an effect is about to begin.
+    pub fn want_proof(&mut self, duty: &str) {
+        let Some(index) = self.index(duty) else { return };
+        let half = self.settings.proof_time().over(2);
+        let fresh = self.current_permit(index).is_some_and(|permit| permit.until + self.clock_offset > self.now + half);
+        if let Some(holding) = self.duties[index].holding.as_mut() {
+            holding.proof_wanted |= !fresh;
+        }
+    }
+
     /// Whether a duty is held here, be it that its predecessor's operations are not settled yet.
     pub fn holds(&self, duty: &str) -> bool {
         self.index(duty).is_some_and(|index| self.duties[index].holding.is_some())
@@ -249,6 +270,12 @@
                     holding.log.performed(operation, attempt, outcome, now);
                 }
             }
+            Command::TokenRefused { duty, token } => {
+                let index = self.index(&duty).filter(|index| self.held_token(*index) == Some(token));
+                if let Some(index) = index {
+                    self.lose(index, LossReason::TokenRefused);
+                }
+            }
             Command::SetLoad(load) => self.load = load,
             Command::SetLimits(limits) => self.set_limits(limits),
             Command::HandOver { duty, to } => {
--- a/crates/seamfront-lease/src/manager/switch.rs
+++ b/crates/seamfront-lease/src/manager/switch.rs
@@ -9,7 +9,7 @@
 
 impl DutyManager {
     /// Whether duties have their own claims.
-    pub(super) fn duties_in_force(&self) -> bool {
+    pub fn duties_in_force(&self) -> bool {
         self.settings.former_claim.is_none() || self.switch.is_some()
     }
 
--- a/crates/seamfront-lease/src/port.rs
+++ b/crates/seamfront-lease/src/port.rs
@@ -54,6 +54,13 @@
         /// What became of it.
         outcome: Outcome,
     },
+    /// A change that the embedding program made by itself, with the duty's claim among its conditions, failed on it.
+    TokenRefused {
+        /// The duty.
+        duty: String,
+        /// The token that was refused.
+        token: u64,
+    },
     /// How busy this member is, in percent.
     SetLoad(u64),
     /// What the store takes from now on.
--- a/crates/seamfront-lease/src/settings.rs
+++ b/crates/seamfront-lease/src/settings.rs
@@ -37,6 +37,9 @@
     pub open_operations: usize,
     /// What the store takes.
     pub limits: StoreLimits,
+    /// Duties that had better be held by one member, since they work on one picture. They follow whoever holds most of
+    /// them, instead of being spread.
+    pub together: Vec<String>,
     /// Key of the claim that carried all duties in a version that knew none of them.
     pub former_claim: Option<String>,
 }
@@ -71,6 +74,7 @@
             rebalance_after: Micros::from_secs(20),
             open_operations: 32,
             limits,
+            together: Vec::new(),
             former_claim: None,
         }
     }
@@ -104,6 +108,8 @@
         require(self.members.contains(&self.member), "member", || {
             format!("{:?} is not among the members", self.member)
         })?;
+        let unknown = self.together.iter().find(|name| !self.duties.contains(name));
+        require(unknown.is_none(), "together", || format!("{:?} is not among the duties", unknown))?;
         require(self.store_answer > Micros::ZERO, "store_answer", || "must be more than 0".to_owned())?;
         require(self.lease <= LONGEST_LEASE, "lease", || "must be at most 600 s".to_owned())?;
         // A renewal whose answer is lost must leave time for another before the holder stops.
--- a/crates/seamfront-lease/src/spread.rs
+++ b/crates/seamfront-lease/src/spread.rs
@@ -1,5 +1,6 @@
 //! Which member should hold which duty. Pure functions of what all members see.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 /// What counts for one member.
@@ -31,6 +32,14 @@
     members.iter().filter(|m| (m.score(), hash(duty, &m.member)) < own_key).count()
 }
 
+/// Who should hold the duties of a group that belong together: whoever holds most of them, by name where that is not
+/// decided. None: nobody holds any.
+pub fn group_holder<'a>(holders: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    let counts = count_by_holder(holders);
+    let most = counts.into_iter().max_by_key(|(member, count)| (*count, Reverse(*member)))?;
+    Some(most.0)
+}
+
 /// The member that a duty should go to, if its holder has clearly more to do. Moving one and moving it back can't both
 /// be right: the receiver must remain below what the holder has left.
 pub fn receiver<'a>(holder: &str, members: &'a [MemberLoad]) -> Option<&'a str> {
--- a/crates/seamfront/src/driver.rs
+++ b/crates/seamfront/src/driver.rs
@@ -107,6 +107,8 @@
     queue: Sender<Command>,
     waiting: Waiting,
     peers: Vec<Option<Sender<MeshMessage>>>,
+    /// When the engine's time began.
+    start: Instant,
 }
 
 impl Out {
@@ -118,6 +120,7 @@
 
     fn carry_out(&self, effect: Effect) {
         let (client, queue, settings) = (self.client.clone(), self.queue.clone(), self.settings.clone());
+        let start = self.start;
         match effect {
             Effect::Answer { to, answer } => self.reply(to, users::reply(&answer)),
             Effect::Orders { to, token, orders } => self.reply(to, workers::orders_reply(token, &orders)),
@@ -133,8 +136,13 @@
                 let reply = state::call(&client, settings.state, &request).await;
                 let _ = queue.send(Command::State { call, reply }).await;
             }),
-            Effect::Cloud { call, request } => self.spawn(async move {
-                let reply = cloud::call(&client, settings.cloud, &request).await;
+            Effect::Cloud { call, request, until } => self.spawn(async move {
+                // The process may have been stopped since the engine's step, for however long.
+                let reply = if until.is_some_and(|until| start.elapsed() >= duration(until)) {
+                    CloudReply::Failed
+                } else {
+                    cloud::call(&client, settings.cloud, &request).await
+                };
                 let _ = queue.send(Command::Cloud { call, reply }).await;
             }),
             Effect::Direct { call, machine, addr, session, token, orders } => self.spawn(async move {
@@ -155,6 +163,10 @@
     }
 }
 
+fn duration(time: Micros) -> Duration {
+    Duration::from_micros(time.0.max(0) as u64)
+}
+
 /// Runs a controller until its process ends.
 pub fn run(settings: Service) -> Result<(), RunError> {
     // Lives as long as the process, which ends only by being killed.
@@ -180,7 +192,15 @@
         peers.push(Some(tx));
         ex.spawn(mesh::deliver(ex, me.clone(), name.clone(), settings.peers[k], rx)).detach();
     }
-    let out = Out { ex, client: client.clone(), settings: settings.clone(), queue: queue.clone(), waiting, peers };
+    let out = Out {
+        ex,
+        client: client.clone(),
+        settings: settings.clone(),
+        queue: queue.clone(),
+        waiting,
+        peers,
+        start: Instant::now(),
+    };
 
     // What remains of the sockets is for our own calls.
     let most = settings.sockets * 8 / 10;
@@ -205,7 +225,7 @@
 
 /// The one owner of the engine.
 async fn own(mut engine: Engine, commands: Receiver<Command>, out: Out) {
-    let start = Instant::now();
+    let start = out.start;
     let mut swept = start;
     loop {
         let first = async { commands.recv().await.ok() }
--- a/crates/seamfront/src/duties.rs
+++ b/crates/seamfront/src/duties.rs
@@ -61,13 +61,15 @@
     if !settings.core.members.contains(&request.to) {
         return invalid("move-duty", format!("{:?} is no member", request.to));
     }
-    let known = seamfront_core::cleaning::lease_settings(&settings.core).duties;
-    if !known.contains(&request.duty) {
-        return invalid("move-duty", format!("{:?} is no duty; there is {}", request.duty, known.join(", ")));
+    let lease = seamfront_core::duties::lease_settings(&settings.core);
+    if !lease.duties.contains(&request.duty) {
+        return invalid("move-duty", format!("{:?} is no duty; there is {}", request.duty, lease.duties.join(", ")));
     }
+    // What belongs together goes together.
+    let group = if lease.together.contains(&request.duty) { lease.together } else { vec![request.duty.clone()] };
     let value = record::write(&MoveRecord { format: FORMAT, to: request.to.clone() });
-    let apply = vec![Write::Put { key: keys::move_request(&request.duty), value, lease: None }];
-    let commit = StateCall::Commit { when: Vec::new(), apply };
+    let put = |duty: &String| Write::Put { key: keys::move_request(duty), value: value.clone(), lease: None };
+    let commit = StateCall::Commit { when: Vec::new(), apply: group.iter().map(put).collect() };
     async_io::block_on(async {
         match state::call(&Client::default(), settings.state, &commit).await {
             StateReply::Committed { .. } => Ok(()),
--- a/crates/seamfront/src/settings.rs
+++ b/crates/seamfront/src/settings.rs
@@ -56,7 +56,7 @@
     pub fn with_duties(mut self, wanted: bool) -> Result<Service, SettingsError> {
         self.core.tuning.duties |= wanted;
         if self.core.tuning.duties {
-            let settings = seamfront_core::cleaning::lease_settings(&self.core);
+            let settings = seamfront_core::duties::lease_settings(&self.core);
             settings.validate().map_err(|e| invalid(format!("duties: {}", e.field), e.reason))?;
         }
         Ok(self)
