Duties: the way back to one leader; the leader's rentals and adoption in modules of their own

Need: once duties are in force, controllers with duties off find no leader's claim to take; one command, refused while a member with duties on is up, removes the switch.

--- a/crates/seamfront-core/src/leader/mod.rs
+++ b/crates/seamfront-core/src/leader/mod.rs
@@ -11,28 +11,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use tracing::{debug, info, warn};
 
+mod adoption;
+mod rentals;
 mod replies;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RentStep {
-    /// Its name is being recorded.
-    Recording,
-    /// Recorded; the cloud may be asked.
-    Ready,
-    Asking,
-    /// Answered; the machines' records are being written.
-    Settling,
-}
-
-#[derive(Clone, Debug)]
-struct Rent {
-    record: RentRecord,
-    step: RentStep,
-    /// When the cloud may have been asked first.
-    asked_at: Option<Micros>,
-    retry_at: Micros,
-    got: Vec<MachineId>,
-}
+use rentals::{Rent, RentStep};
 
 /// What a shard's owner has told the leader.
 #[derive(Clone, Debug)]
@@ -88,23 +71,9 @@
 const VIEW_AGE: Micros = Micros::from_secs(4);
 const DELETE_EVERY: Micros = Micros::from_millis(500);
 const REFUSED_FOR: Micros = Micros::from_secs(15);
-/// How much a listed machine's age may be off.
-const LISTED_AGE_SLACK: Micros = Micros::from_secs(1);
 /// What a former leader has asked for was asked this long before its successor reads of it, at the most.
 const FORMER_ASKED_WITHIN: Micros = Micros::from_secs(30);
 
-impl Rent {
-    /// Whether the cloud may have rented this machine for it, and the answer is not known: such a machine is not
-    /// adopted, or it would go to another shard than the one that it was rented for.
-    fn may_have_rented(&self, m: &Listed, now: Micros) -> bool {
-        let r = &self.record;
-        let unanswered = self.step != RentStep::Settling;
-        let since = self.asked_at.filter(|_| unanswered);
-        let in_time = since.is_some_and(|asked| m.age <= now - asked + LISTED_AGE_SLACK);
-        in_time && m.kind == r.kind && m.zone == r.zone && m.spot == r.spot
-    }
-}
-
 impl Leader {
     /// A leader that has just begun.
     pub fn new(version: Option<u64>, now: Micros, shards: usize) -> Leader {
@@ -314,66 +283,6 @@
         }
     }
 
-    fn rents_tick(&mut self) {
-        let now = self.now;
-        let Some(l) = self.leader.as_mut() else { return };
-        if now < l.cloud_rest {
-            return;
-        }
-        let due = l.rents.iter().find(|(_, r)| r.step == RentStep::Ready && r.retry_at <= now);
-        if let Some(name) = due.map(|d| d.0.clone()) {
-            if let Some(r) = l.rents.get_mut(&name) {
-                r.step = RentStep::Asking;
-                r.asked_at = r.asked_at.or(Some(now));
-                l.cloud_rest = now + Micros::from_millis(250);
-                let (kind, zone) = (r.record.kind.clone(), r.record.zone.clone());
-                let request =
-                    CloudCall::Rent { name: name.clone(), kind, zone, spot: r.record.spot, count: r.record.count };
-                self.leader_cloud(request, LeaderCall::Rent { name });
-            }
-        }
-        let Some(l) = self.leader.as_ref() else { return };
-        let settle: Vec<String> = l
-            .rents
-            .iter()
-            .filter(|(_, r)| r.step == RentStep::Settling && r.retry_at <= now)
-            .map(|r| r.0.clone())
-            .collect();
-        for name in settle {
-            // They boot meanwhile: their records can wait for what the store takes.
-            if self.write_budget > 0 {
-                self.settle_rent(&name);
-            }
-        }
-    }
-
-    /// Transactions give the machines their records, and the last one forgets the request: what a former leader
-    /// rented may be more than one takes.
-    fn settle_rent(&mut self, name: &str) {
-        let now = self.now;
-        let known = &self.machines;
-        let Some(r) = self.leader.as_mut().and_then(|l| l.rents.get_mut(name)) else { return };
-        r.retry_at = now + Micros::from_secs(3);
-        let mut new: Vec<MachineId> = r.got.iter().filter(|id| !known.contains_key(id)).cloned().collect();
-        let most = self.cfg.txn_ops.saturating_sub(1).max(1);
-        let last = new.len() <= most;
-        new.truncate(most);
-        let record = MachineRecord {
-            shard: Some(r.record.shard),
-            kind: r.record.kind.clone(),
-            zone: r.record.zone.clone(),
-            spot: r.record.spot,
-        };
-        let value = serde_json::to_value(&record).unwrap_or_default();
-        let when = new.iter().map(|id| (machine_key(id), 0)).collect();
-        let mut apply: Vec<Write> =
-            new.iter().map(|id| Write::Put { key: machine_key(id), value: value.clone(), lease: None }).collect();
-        if last {
-            apply.push(Write::Delete { key: format!("rent/{name}") });
-        }
-        self.leader_commit(when, apply, LeaderCall::SettleRent { name: name.to_owned(), ids: new, last });
-    }
-
     fn deletes_tick(&mut self) {
         let now = self.now;
         // Half of what the store takes meanwhile, if need be: what stands on machines that fell by the
@@ -529,65 +438,6 @@
         self.leader_commit(when, apply, LeaderCall::Machines { duty, ids });
     }
 
-    fn start_rent(&mut self, record: RentRecord) {
-        let Some(token) = self.fleet_token(FleetDuty::Renting) else { return };
-        let Some(l) = self.leader.as_mut() else { return };
-        l.counter += 1;
-        // Unique for ever: no two claims have the same version.
-        let name = format!("r-{token}-{}", l.counter);
-        info!(name, kind = %record.kind, zone = %record.zone, spot = record.spot, count = record.count, shard = record.shard, "renting");
-        let value = serde_json::to_value(&record).unwrap_or_default();
-        let rent = Rent { record, step: RentStep::Recording, asked_at: None, retry_at: Micros::ZERO, got: Vec::new() };
-        l.rents.insert(name.clone(), rent);
-        let key = format!("rent/{name}");
-        let apply = vec![Write::Put { key: key.clone(), value, lease: None }];
-        self.leader_commit(vec![(key, 0)], apply, LeaderCall::RecordRent { name });
-    }
-
-    /// Machines that the list shows and nobody has a record of: late requests, or those of the
-    /// time before us. They go where they are needed, and are returned if nobody does.
-    fn adopt(&mut self, listed: &[Listed]) {
-        let Some(l) = self.leader.as_ref() else { return };
-        let mut counts: Vec<BTreeMap<(String, String, bool), usize>> = vec![BTreeMap::new(); self.cfg.members.len()];
-        for (r, _) in self.machines.values() {
-            if let Some(s) = r.shard {
-                *counts[s].entry((r.kind.clone(), r.zone.clone(), r.spot)).or_default() += 1;
-            }
-        }
-        let mut pending: BTreeSet<&MachineId> = l.rents.values().flat_map(|r| r.got.iter()).collect();
-        pending.extend(l.writing.iter());
-        let mut new: Vec<(MachineId, MachineRecord)> = Vec::new();
-        let mut failed: Vec<(MachineId, Option<usize>)> = Vec::new();
-        for m in listed {
-            if l.gone.contains_key(&m.id) || pending.contains(&m.id) {
-                continue;
-            }
-            if self.machines.contains_key(&m.id) {
-                if m.state == ListedState::Failed && self.machines[&m.id].0.shard.is_some() {
-                    failed.push((m.id.clone(), None));
-                }
-                continue;
-            }
-            if l.rents.values().any(|r| r.may_have_rented(m, self.now)) {
-                continue;
-            }
-            let key = (m.kind.clone(), m.zone.clone(), m.spot);
-            let all = |c: &BTreeMap<_, usize>| c.values().sum::<usize>();
-            let least =
-                (0..counts.len()).min_by_key(|s| (counts[*s].get(&key).copied().unwrap_or(0), all(&counts[*s])));
-            let shard = least.filter(|_| m.state != ListedState::Failed);
-            if let Some(s) = shard {
-                *counts[s].entry(key).or_default() += 1;
-            }
-            new.push((m.id.clone(), MachineRecord { shard, kind: m.kind.clone(), zone: m.zone.clone(), spot: m.spot }));
-        }
-        self.assign(failed);
-        if let Some(l) = self.leader.as_mut() {
-            let price = |r: &MachineRecord| capacity::price_of(&self.types, &r.kind, r.spot);
-            l.adopting = new.into_iter().map(|(id, record)| ((Reverse(price(&record)), id), record)).collect();
-        }
-    }
-
     pub(crate) fn leader_writes_awaited(&self) -> usize {
         let rented =
             |l: &Leader| l.rents.values().filter(|r| r.step == RentStep::Settling).map(|r| r.got.len()).sum::<usize>();
@@ -600,23 +450,6 @@
         (self.write_budget / 2_000).max(0) as usize
     }
 
-    /// Gives listed machines their records as fast as the store takes them: after a first start all
-    /// of a large fleet come at once. The costliest are waited for most, and lose most by waiting.
-    fn adopt_tick(&mut self) {
-        let room = self.leader_writes().min(self.cfg.txn_ops / 2);
-        let Some(l) = self.leader.as_mut().filter(|l| !l.adopting.is_empty() && room > 0) else { return };
-        let (mut ids, mut when, mut apply) = (Vec::new(), Vec::new(), Vec::new());
-        while ids.len() < room {
-            let Some(((_, id), record)) = l.adopting.pop_first() else { break };
-            info!(machine = %id, shard = ?record.shard, "adopting a listed machine");
-            when.push((machine_key(&id), 0));
-            apply.push(crate::shard::machine_write(&id, &record));
-            ids.push(id);
-        }
-        l.writing.extend(ids.iter().cloned());
-        self.leader_commit(when, apply, LeaderCall::Machines { duty: FleetDuty::Renting, ids });
-    }
-
     pub(crate) fn shard_told(&mut self, shard: usize, needs: Vec<Need>, machines: Vec<MachineView>) {
         let now = self.now;
         let Some(l) = self.leader.as_mut() else { return };
--- a/crates/seamfront/src/duties.rs
+++ b/crates/seamfront/src/duties.rs
@@ -4,6 +4,7 @@
 use crate::http::Client;
 use crate::settings::Service;
 use crate::state;
+use seamfront_core::duties::LEADER_CLAIM;
 use seamfront_core::port::{Entry, StateCall, StateReply, Write};
 use seamfront_lease::keys;
 use seamfront_lease::record::{self, ClaimRecord, LogRecord, MemberRecord, MoveRecord, FORMAT};
@@ -78,6 +79,45 @@
     })
 }
 
+/// The way back: removes the switch and what stands in the leader's claim, so that controllers with duties off have a
+/// leader again. Refused while a member with duties on is up or holds a duty; the same is a condition of the removal.
+pub fn end(settings: &Service) -> Result<(), DutyCommandError> {
+    let lease = seamfront_core::duties::lease_settings(&settings.core);
+    async_io::block_on(async {
+        let client = Client::default();
+        let control = list(&client, settings, keys::CONTROL_PREFIX).await?;
+        let in_use =
+            |entry: &&Entry| entry.key.starts_with(keys::MEMBER_PREFIX) || entry.key.starts_with(keys::CLAIM_PREFIX);
+        if let Some(entry) = control.iter().find(in_use) {
+            let reason = format!("{} is there: end all controllers that have duties on first", entry.key);
+            return Err(DutyCommandError::Invalid { field: "end-duties", reason });
+        }
+        let leader = match state::call(&client, settings.state, &StateCall::Get { key: LEADER_CLAIM.to_owned() }).await
+        {
+            StateReply::Entry(entry) => Some(entry),
+            StateReply::Missing => None,
+            other => return Err(DutyCommandError::State(format!("not read: {other:?}"))),
+        };
+        let switch = control.iter().find(|entry| entry.key == keys::SWITCH);
+        let Some(switch) = switch else { return Ok(()) };
+        let mut when = vec![(keys::SWITCH.to_owned(), switch.version)];
+        when.extend(lease.duties.iter().map(|duty| (keys::claim(duty), 0)));
+        when.extend(lease.members.iter().map(|member| (keys::member(member), 0)));
+        let mut apply = vec![Write::Delete { key: keys::SWITCH.to_owned() }];
+        if let Some(leader) = leader {
+            when.push((leader.key.clone(), leader.version));
+            apply.push(Write::Delete { key: leader.key });
+        }
+        // The next switch waits until all have begun with duties on again.
+        let versions = control.iter().filter(|entry| entry.key.starts_with(keys::VERSION_PREFIX));
+        apply.extend(versions.map(|entry| Write::Delete { key: entry.key.clone() }));
+        match state::call(&client, settings.state, &StateCall::Commit { when, apply }).await {
+            StateReply::Committed { .. } => Ok(()),
+            other => Err(DutyCommandError::State(format!("not written: {other:?}"))),
+        }
+    })
+}
+
 async fn list(client: &Client, settings: &Service, prefix: &str) -> Result<Vec<Entry>, DutyCommandError> {
     let mut all = Vec::new();
     loop {
--- a/crates/seamfront/src/main.rs
+++ b/crates/seamfront/src/main.rs
@@ -31,6 +31,9 @@
     /// Ask the holder of a duty to hand it over, and exit.
     #[arg(long, value_name = "DUTY=MEMBER")]
     move_duty: Option<duties::MoveRequest>,
+    /// Go back to one leader's claim, once no controller has duties on any more, and exit.
+    #[arg(long)]
+    end_duties: bool,
     /// The platform's settings (TOML).
     #[arg(long, value_name = "FILE")]
     config: PathBuf,
@@ -55,7 +58,7 @@
         let _ = writeln!(std::io::stdout(), "settings are valid");
         return ExitCode::SUCCESS;
     }
-    if args.show_duties || args.move_duty.is_some() {
+    if args.show_duties || args.end_duties || args.move_duty.is_some() {
         return duty_command(&args, &settings);
     }
     match driver::run(settings) {
@@ -69,7 +72,8 @@
 
 fn duty_command(args: &Args, settings: &settings::Service) -> ExitCode {
     let moved = args.move_duty.as_ref().map_or(Ok(()), |request| duties::request_move(settings, request));
-    let shown = moved.and_then(|()| if args.show_duties { duties::show(settings) } else { Ok(String::new()) });
+    let ended = moved.and_then(|()| if args.end_duties { duties::end(settings) } else { Ok(()) });
+    let shown = ended.and_then(|()| if args.show_duties { duties::show(settings) } else { Ok(String::new()) });
     match shown {
         Ok(text) => {
             let _ = write!(std::io::stdout(), "{text}");
--- a/crates/seamfront/tests/duties.rs
+++ b/crates/seamfront/tests/duties.rs
@@ -75,7 +75,7 @@
     }
     let ((alpha, alpha_text), (beta, beta_text)) = (pair.settings(0), pair.settings(1));
     let first = start(&alpha, &alpha_text, &["--duties"]);
-    let _second = start(&beta, &beta_text, &["--duties"]);
+    let second = start(&beta, &beta_text, &["--duties"]);
     let settings = alpha.join("settings.toml");
     eventually("cleaned up", || {
         (!pair.has("needs/j-000007/00001") && !pair.has("part/0/j-000007/00000")).then_some(())
@@ -100,6 +100,7 @@
     eventually("moved to the first", || pair.holder().filter(|now| now == "alpha"));
     drop(first);
     eventually("taken over", || pair.holder().filter(|now| now == "beta"));
+    drop(second);
 
     for wrong in ["cleaning=nobody", "baking=beta", "cleaning"] {
         let (worked, text) = run(&settings, &["--move-duty", wrong]);
@@ -107,6 +108,29 @@
     }
 }
 
+/// Once all have begun with duties off, one command gives them a leader again.
+#[test]
+fn the_way_back_to_one_leader() {
+    let pair = Pair::new("duties-back");
+    let ((alpha, alpha_text), (beta, beta_text)) = (pair.settings(0), pair.settings(1));
+    let first = start(&alpha, &alpha_text, &["--duties"]);
+    let second = start(&beta, &beta_text, &["--duties"]);
+    let settings = alpha.join("settings.toml");
+    eventually("duties in force", || pair.has("duty/switch").then_some(()));
+    eventually("held", || pair.holder());
+    let (worked, text) = run(&settings, &["--end-duties"]);
+    assert!(!worked && text.contains("end-duties"), "{text}");
+    drop((first, second));
+    let _first = start(&alpha, &alpha_text, &[]);
+    eventually("ended", || run(&settings, &["--end-duties"]).0.then_some(()));
+    let leader = || {
+        let (_, claim) = pair.service.handle("GET", "/kv/leader", &json!(null));
+        claim["data"]["member"].as_str().filter(|member| *member == "alpha").map(str::to_owned)
+    };
+    eventually("a leader", leader);
+    assert!(!pair.has("duty/switch"));
+}
+
 #[test]
 fn settings_with_which_duties_could_not_work_are_refused_by_name() {
     let pair = Pair::new("duties-refused");
