--- a/review/harness/standins.py
+++ b/review/harness/standins.py
@@ -1174,7 +1174,7 @@
 def run_case(here, main, at_most_s=115.0):
     """Runs `main(folder, record)` and exits with its result: 1 if a rule was broken, 0 if not, 2 if it couldn't run."""
     folder = tempfile.mkdtemp(prefix="review-")
-    record = Record(os.path.join(here, "record.txt"))
+    record = Record(os.environ.get("RECORD") or os.path.join(here, "record.txt"))
 
     async def bounded():
         task = asyncio.current_task()
