Log slow steps, and count what the job registry examines

A step that takes long answers nobody meanwhile, and nothing told an operator so: not how long it took, nor whether it had been given much or examined much. The driver now warns of steps of half a second or more, with the commands that it had been given and the items that it examined, and the registry counts the jobs and dependencies that a pass of urgencies examines, in `Engine::items_examined` and in a debug line.

Nothing else changes.

--- a/crates/seamfront-core/src/engine/mod.rs
+++ b/crates/seamfront-core/src/engine/mod.rs
@@ -169,10 +169,11 @@
         self.send_periodic_messages();
     }
 
-    /// Number of items examined since the start by the leader and by the shards that are held now. It determines the
-    /// cost of steps and, unlike time, is the same on every computer.
+    /// Number of items examined since the start by the leader, by the job registry and by the shards that are held now.
+    /// It determines the cost of steps and, unlike time, is the same on every computer.
     pub fn items_examined(&self) -> i64 {
         self.leader_items_examined
+            + self.jobs.items_examined
             + self
                 .shards
                 .iter()
--- a/crates/seamfront-core/src/jobs/mod.rs
+++ b/crates/seamfront-core/src/jobs/mod.rs
@@ -97,6 +97,8 @@
     reported_progress: BTreeMap<JobId, Progress>,
     graph: DependencyGraph,
     events: Vec<JobEvent>,
+    /// Number of items examined; see [`crate::Engine::items_examined`].
+    pub(crate) items_examined: i64,
 }
 
 impl JobRegistry {
--- a/crates/seamfront-core/src/jobs/urgency.rs
+++ b/crates/seamfront-core/src/jobs/urgency.rs
@@ -3,6 +3,7 @@
 use super::live::{LiveJob, Urgency};
 use super::JobRegistry;
 use crate::types::{JobId, Micros};
+use tracing::debug;
 
 /// Time that a job takes in addition to its run time once its dependencies are done: for placement, the image fetch,
 /// and the report of its end.
@@ -12,6 +13,7 @@
     /// Raises the urgency of the dependencies of a blocked job, direct and indirect: to its priority, and to due times
     /// that leave enough time for all jobs that follow.
     pub(super) fn propagate_urgency(&mut self, id: &JobId) {
+        let (mut visited, mut examined) = (0_usize, 0_usize);
         let mut to_visit = vec![id.clone()];
         while let Some(id) = to_visit.pop() {
             let blocked = |job: &&LiveJob| job.dependencies.blocked();
@@ -22,6 +24,8 @@
                 priority: job.priority(),
                 due: job.due().map(|due| due - job.spec.estimate - JOB_OVERHEAD),
             };
+            visited += 1;
+            examined += job.dependencies.pending.len();
             for dependency in job.dependencies.pending.clone() {
                 if self.raise_urgency(&dependency, required) {
                     self.push_update(&dependency);
@@ -29,6 +33,10 @@
                 }
             }
         }
+        self.items_examined += (visited + examined) as i64;
+        if visited > 0 {
+            debug!(job = %id, visited, examined, "urgency propagated");
+        }
     }
 
     /// Returns whether the urgency of the job changed.
--- a/crates/seamfront/src/driver.rs
+++ b/crates/seamfront/src/driver.rs
@@ -18,7 +18,7 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use futures_lite::FutureExt;
-use seamfront_core::port::{Command, PeerMessage};
+use seamfront_core::port::{Command, Effect, PeerMessage};
 use seamfront_core::types::{Micros, Settings};
 use seamfront_core::Engine;
 use std::net::SocketAddr;
@@ -47,6 +47,8 @@
 const BATCH_MAX: usize = 512;
 /// The engine is stepped at least this often, also without commands.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
+/// Duration of a step from which on it is logged.
+const SLOW_STEP: Duration = Duration::from_millis(500);
 /// Capacity of the queue of messages to one peer.
 const PEER_QUEUE_MAX: usize = 64;
 /// How often idle outgoing connections are checked for expiry.
@@ -147,7 +149,7 @@
     loop {
         let batch = next_batch(&commands).await;
         let now = Micros(start.elapsed().as_micros() as i64);
-        for effect in engine.step(now, wall_time(), batch) {
+        for effect in measured_step(&mut engine, now, batch) {
             effects.execute(effect);
         }
         if last_idle_check.elapsed() > IDLE_CHECK_INTERVAL {
@@ -157,6 +159,21 @@
     }
 }
 
+/// Steps the engine, and warns of a step that has taken long: until it ends, nobody is answered.
+fn measured_step(engine: &mut Engine, now: Micros, batch: Vec<Command>) -> Vec<Effect> {
+    let begun = Instant::now();
+    let examined_before = engine.items_examined();
+    let commands = batch.len();
+    let effects = engine.step(now, wall_time(), batch);
+    let elapsed = begun.elapsed();
+    if elapsed >= SLOW_STEP {
+        let items = engine.items_examined() - examined_before;
+        let (ms, effects) = (elapsed.as_millis() as u64, effects.len());
+        warn!(ms, commands, items, effects, "slow step");
+    }
+    effects
+}
+
 /// Waits for a command for at most one tick, and takes the others that are queued.
 async fn next_batch(commands: &Receiver<Command>) -> Vec<Command> {
     let first = async { commands.recv().await.ok() }
