Pass urgency on once per job, not once per path through a pipeline

What callers saw: after the last of 167 jobs of a pipeline was accepted, every controller exceeded its memory, was killed and did the same again after each start.

Cause: the due times of a pipeline were passed down depth first, and a job was visited again, with all that it needs, each time that its due time got earlier. Where estimates differ along the paths, the visits follow the number of paths. Each change was kept as an event with a copy of the job until the pass ended.

Evidence: a trial with a line within the pass showed 50,000 visits and 104,522 events for 167 live jobs. The new test counts the items examined in a step: 4,150,266 before, for 166 jobs with 2,265 dependencies; its bound is 9,724.

Change: queued jobs pass on what they require in the order of their records' versions, latest first. A job is accepted after its dependencies, so all its dependents have had their turn before it has its own, and one visit is enough. A pass over n jobs with m dependencies takes n + m visits, and each visit makes one event. A pass goes on in the next step after 10,000 dependencies. Nothing is passed on to a version that is not lower, so that a pass ends with any records.

--- a/crates/seamfront-core/src/engine/jobs.rs
+++ b/crates/seamfront-core/src/engine/jobs.rs
@@ -146,6 +146,11 @@
         self.with_jobs(|jobs, context| jobs.completed(context, id, tasks));
     }
 
+    /// Passes priorities and due times on to the dependencies of jobs.
+    pub(super) fn propagate_urgency(&mut self) {
+        self.with_jobs(|jobs, _| jobs.propagate_urgency());
+    }
+
     /// Answers queries whose jobs' states have been determined meanwhile, and advances the dependencies of jobs.
     pub(super) fn dependencies_tick(&mut self) {
         self.with_user_api(|api, context| api.answer_undetermined(context));
--- a/crates/seamfront-core/src/engine/mod.rs
+++ b/crates/seamfront-core/src/engine/mod.rs
@@ -152,6 +152,7 @@
         self.machine_types_tick();
         self.format_versions_tick();
         self.duties_tick();
+        self.propagate_urgency();
         for shard in 0..self.shards.len() {
             self.with_shard(shard, |s, context| {
                 s.tick(context);
--- a/crates/seamfront-core/src/jobs/mod.rs
+++ b/crates/seamfront-core/src/jobs/mod.rs
@@ -30,6 +30,7 @@
 use ended::EndedJobs;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use urgency::UrgencyQueue;
 
 /// What the registry and the user API need to know about shards.
 pub(crate) trait ShardDirectory {
@@ -96,6 +97,7 @@
     /// Progress of live jobs, as reported by the holders of their shards.
     reported_progress: BTreeMap<JobId, Progress>,
     graph: DependencyGraph,
+    urgency_queue: UrgencyQueue,
     events: Vec<JobEvent>,
     /// Number of items examined; see [`crate::Engine::items_examined`].
     pub(crate) items_examined: i64,
@@ -167,7 +169,7 @@
         if has_dependencies {
             self.push_update(&id);
         }
-        self.propagate_urgency(&id);
+        self.queue_urgency(&id);
     }
 
     /// Removes a job whose record is gone from the store, or whose end is known.
--- a/crates/seamfront-core/src/jobs/resolution.rs
+++ b/crates/seamfront-core/src/jobs/resolution.rs
@@ -146,6 +146,6 @@
         job.dependencies.list_incomplete = false;
         self.add_dependencies(context, id, lists.into_iter().flatten().collect());
         self.unblock_if_ready(context, id);
-        self.propagate_urgency(id);
+        self.queue_urgency(id);
     }
 }
--- /dev/null
+++ b/crates/seamfront-core/tests/urgency.rs
@@ -0,0 +1,93 @@
+//! Priorities and due times that jobs pass on to their dependencies, in simulated runs. The work is counted and nothing
+//! is timed, so the results do not depend on the speed of the computer.
+
+use seamfront_core::types::*;
+use seamfront_testing::simulation::recording::scenario;
+use seamfront_testing::simulation::{ms, Fault, Scale, Simulation, CONTROLLERS, SMALL};
+
+/// Scale of the runs: few machines, pages of the store of the usual size.
+const PIPELINES: Scale = Scale {
+    page: 500,
+    limits: [0; 10],
+    ..SMALL
+};
+
+/// A job of one task that any machine can run.
+fn plain_job(simulation: &mut Simulation, number: u32, priority: Priority) -> JobSpec {
+    JobSpec {
+        class: "step".into(),
+        team: "a".into(),
+        kind: JobKind::Array,
+        priority,
+        tasks: 1,
+        task_resources: Resources::rounded_up(1.0, 0.0, 1.0),
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        deadline: None,
+        ..simulation.job(number)
+    }
+}
+
+fn ids_of(stage: &[JobSpec]) -> Vec<JobId> {
+    stage.iter().map(|spec| spec.id.clone()).collect()
+}
+
+/// A pipeline in which each job needs all jobs of the stage before, and an urgent job with a deadline that needs the
+/// last stage. Estimates double from stage to stage, and the longer jobs of a stage come first in the order of ids.
+fn pipeline_of_stages(simulation: &mut Simulation, stages: u32, width: u32) -> Vec<JobSpec> {
+    let mut jobs: Vec<JobSpec> = Vec::new();
+    let mut previous: Vec<JobId> = Vec::new();
+    for stage in 0..stages {
+        let mut current = Vec::new();
+        for place in 0..width {
+            let shortest = Micros::from_secs(1 << stage);
+            let mut spec = plain_job(simulation, 1 + stage * width + place, Priority::BestEffort);
+            spec.estimate = shortest + shortest
+                - shortest
+                    .times(i64::from(place))
+                    .divided_by(i64::from(width));
+            spec.dependencies.clone_from(&previous);
+            current.push(spec);
+        }
+        previous = ids_of(&current);
+        jobs.extend(current);
+    }
+    let mut last = plain_job(simulation, 1 + stages * width, Priority::Urgent);
+    last.deadline = Some(Micros::from_secs(20_000));
+    last.dependencies = previous;
+    jobs.push(last);
+    jobs
+}
+
+/// Guards against work (`docs/incidents/urgency-along-every-path.md`) that grows with the number of paths through a pipeline instead of the number of its jobs and
+/// dependencies. Every controller examined 4.1 million items and kept a copy of a job for each change of its urgency in
+/// the step in which the last job became known, and again after each restart.
+#[test]
+fn a_step_examines_each_job_and_each_dependency_of_a_wide_pipeline_a_few_times_at_most() {
+    scenario("urgency.a_wide_pipeline_is_submitted_and_all_controllers_restart");
+    let mut simulation = Simulation::sized(6_000, PIPELINES);
+    simulation.faults_end = ms(1_000);
+    let jobs = pipeline_of_stages(&mut simulation, 11, 15);
+    let dependencies: usize = jobs.iter().map(|spec| spec.dependencies.len()).sum();
+    let count = jobs.len();
+    for spec in jobs {
+        simulation.submit(ms(1_000), spec);
+    }
+    simulation.fault(
+        ms(30_000),
+        Fault::Crash {
+            controllers: (0..CONTROLLERS).collect(),
+            restart_after: ms(500),
+        },
+    );
+    simulation.run_until(ms(40_000));
+    assert_eq!(simulation.accepted_jobs(), count);
+    let most = simulation.most_items_in_a_step;
+    let bound = 4 * (count + dependencies) as i64;
+    assert!(
+        most <= bound,
+        "{most} items in a step for {count} jobs with {dependencies} dependencies"
+    );
+}
--- a/crates/seamfront-testing/src/simulation/mod.rs
+++ b/crates/seamfront-testing/src/simulation/mod.rs
@@ -200,6 +200,8 @@
     pub largest_bytes: (usize, usize),
     /// Number of steps of all engines, and of the items that they examined.
     pub steps: (i64, i64),
+    /// Number of items examined in the step that examined the most.
+    pub most_items_in_a_step: i64,
     rng: StdRng,
     /// Times and ids of future events, the next one first.
     queue: BinaryHeap<std::cmp::Reverse<(Micros, u64)>>,
@@ -439,6 +441,7 @@
             store_load: BTreeMap::new(),
             largest_bytes: (0, 0),
             steps: (0, 0),
+            most_items_in_a_step: 0,
             rng: StdRng::seed_from_u64(seed),
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
@@ -773,10 +776,9 @@
         let before = engine.items_examined();
         let effects = engine.step(own, wall_time, commands);
         // A shard that is dropped takes its count with it, so the difference can be negative.
-        self.steps = (
-            self.steps.0 + 1,
-            self.steps.1 + (engine.items_examined() - before).max(0),
-        );
+        let examined = (engine.items_examined() - before).max(0);
+        self.steps = (self.steps.0 + 1, self.steps.1 + examined);
+        self.most_items_in_a_step = self.most_items_in_a_step.max(examined);
         let generation = n.generation;
         for f in effects {
             self.handle_effect(controller, generation, f);
