Keep the urgency of dependencies that a restart reads after their dependents

What callers saw: after a restart of all controllers a job that an urgent one needs could wait behind ordinary work.

Cause: a job gets the urgency of its dependents when a dependent becomes known. A complete read of the view comes in the order of ids, so a dependent may be read first; nothing asked it again when the dependency came.

Change: a job that becomes known queues its dependents too. They pass on what they require in the next pass.

--- a/crates/seamfront-core/src/jobs/urgency.rs
+++ b/crates/seamfront-core/src/jobs/urgency.rs
@@ -37,10 +37,14 @@
 }
 
 impl JobRegistry {
-    /// Queues a job whose dependencies have become known.
+    /// Queues a job that has become known, or the rest of whose dependencies has. Its dependents are queued too: a
+    /// complete read of the view shows the jobs in the order of their ids, so they may have been known before it.
     pub(super) fn queue_urgency(&mut self, id: &JobId) {
-        if let Some(job) = self.live.get(id).filter(|job| job.dependencies.blocked()) {
-            self.urgency_queue.insert(id, job);
+        let dependents = self.graph.dependents.get(id);
+        for id in dependents.into_iter().flatten().chain([id]) {
+            if let Some(job) = self.live.get(id).filter(|job| job.dependencies.blocked()) {
+                self.urgency_queue.insert(id, job);
+            }
         }
     }
 
--- a/crates/seamfront-core/tests/urgency.rs
+++ b/crates/seamfront-core/tests/urgency.rs
@@ -91,3 +91,73 @@
         "{most} items in a step for {count} jobs with {dependencies} dependencies"
     );
 }
+
+/// Limit of team `b` in CPUs. Its guarantee is 8.
+const LIMIT_OF_TEAM_B: i64 = 12;
+
+/// A service of team `b`, with tasks of one CPU.
+fn service_of_team_b(simulation: &mut Simulation, number: u32, tasks: u32) -> JobSpec {
+    JobSpec {
+        class: "service".into(),
+        team: "b".into(),
+        kind: JobKind::Service,
+        tasks,
+        ..plain_job(simulation, number, Priority::Critical)
+    }
+}
+
+/// Guards against urgencies that are lost in a restart: the jobs are read in the order of their ids, and a dependency
+/// that came after its dependents got nothing from them. It then waited behind work of lower priority.
+#[test]
+fn a_dependency_that_is_read_after_its_dependents_keeps_their_priority() {
+    scenario("urgency.all_controllers_restart_and_read_a_dependency_last");
+    let mut limits = [0; 10];
+    limits[1] = LIMIT_OF_TEAM_B;
+    let mut simulation = Simulation::sized(
+        6_100,
+        Scale {
+            limits,
+            ..PIPELINES
+        },
+    );
+    simulation.faults_end = ms(1_000);
+    // One service uses up the guarantee of team b and stays, one uses up its limit until the restart is over.
+    let staying = service_of_team_b(&mut simulation, 1, 8);
+    let cancelled = service_of_team_b(&mut simulation, 2, 4);
+    let cancelled_id = cancelled.id.clone();
+    let mut competitor = plain_job(&mut simulation, 3, Priority::Normal);
+    (competitor.class, competitor.tasks) = ("competitor".into(), 5_000);
+    let mut dependency = plain_job(&mut simulation, 900, Priority::BestEffort);
+    dependency.team = "b".into();
+    let dependency_id = dependency.id.clone();
+    let mut dependent = plain_job(&mut simulation, 500, Priority::BestEffort);
+    dependent.dependencies = vec![dependency.id.clone()];
+    let mut last = plain_job(&mut simulation, 100, Priority::Urgent);
+    last.dependencies = vec![dependent.id.clone()];
+    for (at, spec) in [(1, staying), (1, cancelled), (20, competitor)] {
+        simulation.submit(ms(1_000 * at), spec);
+    }
+    for spec in [dependency, dependent, last] {
+        simulation.submit(ms(40_000), spec);
+    }
+    simulation.fault(
+        ms(50_000),
+        Fault::Crash {
+            controllers: (0..CONTROLLERS).collect(),
+            restart_after: ms(500),
+        },
+    );
+    simulation.cancel(ms(70_000), cancelled_id);
+    simulation.run_until(ms(70_000));
+    let started = &simulation.ground_truth.first_started_at;
+    assert!(
+        !started.contains_key(&dependency_id),
+        "its team is at its limit"
+    );
+    simulation.run_until(ms(100_000));
+    let started = &simulation.ground_truth.first_started_at;
+    assert!(
+        started.contains_key(&dependency_id),
+        "waits behind normal work"
+    );
+}
