Answer questions about blocked jobs without walking through all that they need

A question about a blocked job cost a walk through everything that the job needs, directly and through others, with a copied id for each dependency. A poll of each job of a wide pipeline thus costs the square of the pipeline, again every few seconds.

Change: a step that answers such questions collects the jobs that are uncertain once, from the dependencies that are being read and the jobs that are being cancelled upwards. All other blocked jobs are certain: whatever is not live in the view is among those that are being read. The cost is the uncertain jobs and their dependents, hardly ever any, and a look-up for each question.

Evidence: 198,234 items in one step for 241 jobs with 8,040 dependencies before (a trial with a counter in the walk); the bound of the test is 33,124. Fails there and passes now. The tests of dependencies and of fault combinations pass.

--- a/crates/seamfront-core/src/jobs/dependency_graph.rs
+++ b/crates/seamfront-core/src/jobs/dependency_graph.rs
@@ -152,25 +152,30 @@
         self.push_update(id);
     }
 
-    /// Whether it is certain that no dependency is cancelled: all of them, direct and indirect, are live in the view or
-    /// known to be done.
-    pub(crate) fn no_dependency_cancelled(&self, id: &JobId) -> bool {
-        let mut seen = BTreeSet::new();
-        let mut to_visit = vec![id.clone()];
+    /// Blocked jobs of which it is uncertain whether a dependency, direct or indirect, is cancelled. Of all other live
+    /// jobs, every dependency is live in the view or known to be done.
+    pub(crate) fn uncertain_jobs(&mut self) -> BTreeSet<JobId> {
+        let graph = &self.graph;
+        let ended_somehow = graph
+            .unresolved
+            .keys()
+            .filter(|id| !self.live.contains_key(*id));
+        let mut to_visit: Vec<&JobId> = ended_somehow
+            .filter_map(|id| graph.dependents.get(id))
+            .flatten()
+            .chain(graph.incomplete_lists.keys())
+            .chain(graph.cascades.keys())
+            .collect();
+        let mut uncertain = BTreeSet::new();
+        let mut examined = to_visit.len();
         while let Some(id) = to_visit.pop() {
-            let Some(job) = self
-                .live
-                .get(&id)
-                .filter(|job| !job.dependencies.list_incomplete)
-            else {
-                return false;
-            };
-            if self.graph.cascades.contains_key(&id) {
-                return false;
+            if !uncertain.insert(id.clone()) {
+                continue;
             }
-            let pending = job.dependencies.pending.iter();
-            to_visit.extend(pending.filter(|id| seen.insert((*id).clone())).cloned());
+            let dependents = graph.dependents.get(id).into_iter().flatten();
+            to_visit.extend(dependents.inspect(|_| examined += 1));
         }
-        true
+        self.items_examined += examined as i64;
+        uncertain
     }
 }
--- a/crates/seamfront-core/src/user_api/status.rs
+++ b/crates/seamfront-core/src/user_api/status.rs
@@ -174,9 +174,11 @@
             return context.outbox.store(refresh, pending);
         }
         let answer_by = context.job_context.now + UNDETERMINED_TIMEOUT;
-        for query in queries {
-            self.answer_if_determined(context, UndeterminedQuery { query, answer_by });
-        }
+        let queries = queries
+            .into_iter()
+            .map(|query| UndeterminedQuery { query, answer_by })
+            .collect();
+        self.answer_if_determined(context, queries);
     }
 
     /// Continues after the reply to a [`UserRequest::RefreshView`] has been applied to the view. `refreshed` says
@@ -200,21 +202,27 @@
     /// Answers the undetermined queries that can be answered with certainty by now. Users who have waited too long are
     /// told to retry.
     pub(crate) fn answer_undetermined(&mut self, context: &mut UserContext) {
-        for undetermined in std::mem::take(&mut self.undetermined) {
-            self.answer_if_determined(context, undetermined);
+        if !self.undetermined.is_empty() {
+            let queries = std::mem::take(&mut self.undetermined);
+            self.answer_if_determined(context, queries);
         }
     }
 
-    /// Answers the query if the job's state is certain by now: the view is newer than the confirmation and only gets
-    /// newer.
-    fn answer_if_determined(&mut self, context: &mut UserContext, undetermined: UndeterminedQuery) {
-        let id = &undetermined.query.id;
-        if context.jobs.end_of(id).is_some() || context.jobs.no_dependency_cancelled(id) {
-            context.answer_live(&undetermined.query);
-        } else if undetermined.answer_by <= context.job_context.now {
-            context.reject_with_retry_after(undetermined.query.request);
-        } else {
-            self.undetermined.push(undetermined);
+    /// Answers the queries about jobs whose state is certain by now: the view is newer than the confirmations and only
+    /// gets newer.
+    fn answer_if_determined(&mut self, context: &mut UserContext, queries: Vec<UndeterminedQuery>) {
+        let uncertain = context.jobs.uncertain_jobs();
+        let now = context.job_context.now;
+        for undetermined in queries {
+            let id = &undetermined.query.id;
+            let certain = context.jobs.contains_key(id) && !uncertain.contains(id);
+            if certain || context.jobs.end_of(id).is_some() {
+                context.answer_live(&undetermined.query);
+            } else if undetermined.answer_by <= now {
+                context.reject_with_retry_after(undetermined.query.request);
+            } else {
+                self.undetermined.push(undetermined);
+            }
         }
     }
 }
--- a/crates/seamfront-core/tests/urgency.rs
+++ b/crates/seamfront-core/tests/urgency.rs
@@ -94,6 +94,38 @@
     );
 }
 
+/// Guards against answers that cost as much as all that a job needs, directly and through others, for each question.
+/// One step examined 198,234 items for questions that came together (`docs/incidents/urgency-along-every-path.md`).
+#[test]
+fn questions_about_a_wide_pipeline_do_not_examine_it_anew_each_time() {
+    scenario("urgency.many_users_ask_about_the_jobs_of_a_wide_pipeline");
+    init_logging_if_selected(6_300);
+    let mut simulation = Simulation::sized(6_300, PIPELINES);
+    simulation.faults_end = ms(1_000);
+    let jobs = pipeline_of_stages(&mut simulation, 6, 40);
+    let dependencies: usize = jobs.iter().map(|spec| spec.dependencies.len()).sum();
+    let count = jobs.len();
+    for spec in jobs {
+        simulation.submit(ms(1_000), spec);
+    }
+    simulation.run_until(ms(40_000));
+    assert_eq!(simulation.accepted_jobs(), count);
+    simulation.fault(
+        ms(40_000),
+        Fault::PollStorm {
+            until: ms(50_000),
+            factor: 20,
+        },
+    );
+    simulation.run_until(ms(50_000));
+    let most = simulation.most_items_in_a_step;
+    let bound = 4 * (count + dependencies) as i64;
+    assert!(
+        most <= bound,
+        "{most} items in a step for {count} jobs with {dependencies} dependencies"
+    );
+}
+
 /// Submits, to team `a`, an array that fills all machines to the end, and a job that is never done. The latter takes up
 /// the guarantee of the team, which would let other jobs start whatever their priority.
 fn submit_competitors(simulation: &mut Simulation) {
