Keep lists of dependencies once, and no copy of them in specs

Each change of a job's urgency copied the job's spec with its list of dependencies, and the copy stayed with the job's shard.

Cause: the list stood in the spec, twice in the graph, and again in the effective spec, each name with its own text.

Change: the registry takes the list out of the spec when a job becomes live; the graph keeps it, as far as it is pending, in a set that is built at once, and shares the text of a name among all jobs that name it. Stored forms are as before.

What remains open (lists of thousands of names in stages of thousands of jobs) is in the postmortem.

--- a/crates/seamfront-core/src/jobs/dependency_graph.rs
+++ b/crates/seamfront-core/src/jobs/dependency_graph.rs
@@ -39,11 +39,15 @@
 
 impl JobRegistry {
     /// Adds a job that has just become live to the graph. Returns whether it has dependencies.
-    pub(super) fn register_dependencies(&mut self, context: JobContext, id: &JobId) -> bool {
+    pub(super) fn register_dependencies(
+        &mut self,
+        context: JobContext,
+        id: &JobId,
+        dependencies: Vec<JobId>,
+    ) -> bool {
         let Some(job) = self.live.get_mut(id) else {
             return false;
         };
-        let dependencies = job.spec.dependencies.clone();
         let in_parts = job.spec.dependency_parts > 0;
         if dependencies.is_empty() && !in_parts {
             return false;
@@ -73,14 +77,14 @@
         id: &JobId,
         dependencies: Vec<JobId>,
     ) {
+        let mut pending = Vec::new();
         for dependency in dependencies.into_iter().filter(|other| other != id) {
             let end = self.ended.get(&dependency);
             if end.is_some_and(|end| !end.cancelled) {
                 continue;
             }
-            if let Some(job) = self.live.get_mut(id) {
-                job.dependencies.pending.insert(dependency.clone());
-            }
+            let dependency = self.shared_id(dependency);
+            pending.push(dependency.clone());
             if end.is_some() {
                 self.schedule_cascade(context, id, &dependency);
                 continue;
@@ -94,6 +98,19 @@
                 .or_default()
                 .insert(id.clone());
         }
+        if let Some(job) = self.live.get_mut(id) {
+            // A set that is built at once takes less memory than one that grows.
+            pending.extend(std::mem::take(&mut job.dependencies.pending));
+            job.dependencies.pending = pending.into_iter().collect();
+        }
+    }
+
+    /// The same id with the text that the graph stores already, so that a dependency's text is stored once however many
+    /// jobs name it.
+    fn shared_id(&self, id: JobId) -> JobId {
+        let live = self.live.get_key_value(&id).map(|(id, _)| id);
+        let named = self.graph.dependents.get_key_value(&id).map(|(id, _)| id);
+        live.or(named).cloned().unwrap_or(id)
     }
 
     /// Removes a job that is no longer live. If other jobs depend on it, its end is applied to them, or read from the
--- a/crates/seamfront-core/src/jobs/live.rs
+++ b/crates/seamfront-core/src/jobs/live.rs
@@ -7,7 +7,7 @@
 /// A live job in this controller's view.
 #[derive(Clone, Debug)]
 pub(crate) struct LiveJob {
-    /// The job as it was accepted.
+    /// The job as it was accepted, without the list of its dependencies.
     pub(crate) spec: Rc<JobSpec>,
     /// Version of its record `job/<id>`, which is written only once.
     pub(crate) version: u64,
--- a/crates/seamfront-core/src/jobs/mod.rs
+++ b/crates/seamfront-core/src/jobs/mod.rs
@@ -158,9 +158,10 @@
         {
             return;
         }
+        let (spec, dependencies) = without_dependencies(spec);
         self.live
             .insert(id.clone(), LiveJob::new(spec.clone(), version, shard));
-        let has_dependencies = self.register_dependencies(context, &id);
+        let has_dependencies = self.register_dependencies(context, &id, dependencies);
         self.events.push(JobEvent::Added {
             shard,
             spec,
@@ -243,3 +244,14 @@
         }
     }
 }
+
+/// Takes the list of dependencies out of a spec. From here on the graph stores it, as far as it is pending: a list may
+/// have thousands of entries, and specs are copied when priorities or deadlines change.
+fn without_dependencies(spec: Rc<JobSpec>) -> (Rc<JobSpec>, Vec<JobId>) {
+    if spec.dependencies.is_empty() {
+        return (spec, Vec::new());
+    }
+    let mut spec = Rc::unwrap_or_clone(spec);
+    let dependencies = std::mem::take(&mut spec.dependencies);
+    (Rc::new(spec), dependencies)
+}
--- /dev/null
+++ b/crates/seamfront-core/tests/memory.rs
@@ -0,0 +1,84 @@
+//! Memory that one controller holds for jobs with many dependencies, in bytes as the allocator counts them.
+
+use peak_alloc::PeakAlloc;
+use seamfront_core::port::{Command, Effect};
+use seamfront_core::types::{JobId, JobSpec, Micros, Priority};
+use seamfront_core::Engine;
+use seamfront_testing::shard_harness::{job, settings};
+use seamfront_testing::store::Store;
+
+#[global_allocator]
+static ALLOCATOR: PeakAlloc = PeakAlloc;
+
+/// Entries in one page of the store, as its protocol limits them.
+const PAGE: usize = 1_000;
+const STAGES: usize = 6;
+const WIDTH: usize = 150;
+/// An entry in the set of a job's dependencies and one in the set of a job's dependents, 32 bytes each, in trees whose
+/// nodes are half full.
+const MAX_BYTES_PER_DEPENDENCY: usize = 2 * 2 * 32;
+
+/// Stores the jobs of a pipeline in which each job needs all jobs of the stage before, and an urgent last job. Returns
+/// the number of dependencies.
+fn store_pipeline(store: &mut Store) -> usize {
+    let mut previous: Vec<JobId> = Vec::new();
+    let mut dependencies = 0;
+    for stage in 0..=STAGES {
+        let width = if stage == STAGES { 1 } else { WIDTH };
+        let mut current = Vec::new();
+        for place in 0..width {
+            let spec = JobSpec {
+                dependencies: previous.clone(),
+                priority: if stage == STAGES {
+                    Priority::Urgent
+                } else {
+                    Priority::BestEffort
+                },
+                ..(*job(&format!("j-{:06}", stage * WIDTH + place), 1)).clone()
+            };
+            dependencies += spec.dependencies.len();
+            store.revision += 1;
+            let value = serde_json::to_value(&spec).expect("a spec can be encoded");
+            let key = format!("job/{}", spec.id);
+            store.keys.insert(key, (value, store.revision, None));
+            current.push(spec.id);
+        }
+        previous = current;
+    }
+    dependencies
+}
+
+/// Steps the engine for three seconds, with the store alone.
+fn step_with_store(engine: &mut Engine, store: &mut Store) {
+    let mut commands = Vec::new();
+    for tick in 1..=60 {
+        let now = Micros::from_millis(50 * tick);
+        let effects = engine.step(now, now, std::mem::take(&mut commands));
+        for effect in effects {
+            if let Effect::Store { call, request } = effect {
+                if let Some(reply) = store.execute(now, &request) {
+                    commands.push(Command::Store { call, reply });
+                }
+            }
+        }
+    }
+}
+
+/// Guards against copies of the lists that users have submitted (`docs/incidents/urgency-along-every-path.md`): a list is
+/// kept once, as the edges of the graph, and is not copied when the urgency of its job changes.
+#[test]
+fn a_controller_keeps_two_entries_for_each_pending_dependency() {
+    let mut store = Store::with_page_size(PAGE);
+    let dependencies = store_pipeline(&mut store);
+    let before = ALLOCATOR.current_usage();
+    let mut engine = Engine::new(settings());
+    ALLOCATOR.reset_peak_usage();
+    step_with_store(&mut engine, &mut store);
+    let held = (ALLOCATOR.current_usage() - before) / dependencies;
+    let peak = (ALLOCATOR.peak_usage() - before) / dependencies;
+    println!("{dependencies} dependencies: {held} bytes for each, {peak} at the peak");
+    assert!(
+        peak.max(held) <= MAX_BYTES_PER_DEPENDENCY,
+        "{held} bytes for each dependency, {peak} at the peak"
+    );
+}
