Record the attempts that gang members have used up, without those that run

After several failovers a gang whose members had not failed could be considered failed and made to back off.

Cause: a running member's current start was recorded as an attempt used up. The next holder charged the member again when its agent reported it, so each failover cost every member an attempt, and a drain gives back one only. It also made the record of a running gang of n members n entries longer, which is the larger part of it where many members share a machine.

Change: the record lists attempts without the one of a running member; the holder that adopts the gang charges it on the first report, as for any member that may be ordered to start. The stored form is as before.

Evidence: `failovers_of_a_running_gang_use_up_no_attempts` fails before (three entries recorded) and passes now.

--- a/crates/seamfront-core/src/gang.rs
+++ b/crates/seamfront-core/src/gang.rs
@@ -92,6 +92,17 @@
         }
     }
 
+    /// Attempts that members have used up before their current start, by task number, without those that have used none.
+    /// A member that is running has been charged for its current start; whoever adopts the gang charges it again when
+    /// the agent reports the member.
+    pub fn charged_attempts(&self) -> impl Iterator<Item = (u32, u32)> + '_ {
+        let charged = self.members.iter().zip(&self.attempts).map(|(member, n)| {
+            let current = u32::from(*member == Member::Running);
+            n.saturating_sub(current)
+        });
+        (0..).zip(charged).filter(|(_, attempts)| *attempts > 0)
+    }
+
     /// Starts a drain. `trigger` is the member whose failure caused it, or `None` if the gang is evicted for other
     /// work. Returns false if a drain is in progress already.
     pub fn drain(&mut self, trigger: Option<u32>) -> bool {
--- a/crates/seamfront-core/src/job.rs
+++ b/crates/seamfront-core/src/job.rs
@@ -407,16 +407,13 @@
                 _ => runs.push(TaskRun::new(*i, i + 1, p.attempt)),
             }
         }
-        let attempts = self.gang.iter().flat_map(|g| g.attempts.iter().enumerate());
+        let attempts = self.gang.iter().flat_map(Gang::charged_attempts);
         WorkRecord {
             team: self.spec.team.clone(),
             task_resources: self.spec.task_resources,
             epoch: self.gang.as_ref().map_or(0, |g| g.epoch),
             draining: self.gang.as_ref().is_some_and(|g| g.draining),
-            attempts: attempts
-                .filter(|a| *a.1 > 0)
-                .map(|a| (a.0 as u32, *a.1))
-                .collect(),
+            attempts: attempts.collect(),
             next_attempt: self.next_attempt,
             done: self.done.clone(),
             placed,
--- a/crates/seamfront-core/tests/gang.rs
+++ b/crates/seamfront-core/tests/gang.rs
@@ -1,6 +1,11 @@
 //! The state machine of a gang: drains, their verdicts and the attempts that members are charged.
 
 use seamfront_core::gang::*;
+use seamfront_core::job::Job;
+use seamfront_core::record::TaskRun;
+use seamfront_core::types::{JobKind, JobSpec};
+use seamfront_testing::shard_harness::{job, s};
+use std::rc::Rc;
 
 fn run_all_members(gang: &mut Gang) {
     gang.reserve_all();
@@ -100,3 +105,33 @@
     gang.members[1] = Member::Failed;
     assert_eq!(gang.complete(3), Some(DrainOutcome::Failed));
 }
+
+/// Guards against attempts that failovers use up: a running member's current start was recorded as an attempt, and
+/// charged again when its agent reported the member to the next holder. After a few failovers a gang that nobody had
+/// failed was considered failed, and its record had an entry for each member.
+#[test]
+fn failovers_of_a_running_gang_use_up_no_attempts() {
+    let spec = Rc::new(JobSpec {
+        kind: JobKind::Gang,
+        ..(*job("j-1", 3)).clone()
+    });
+    let mut holder = Job::new(spec.clone(), 5, s(90));
+    let placed = (0..3).map(|k| {
+        (
+            format!("i-{k}").as_str().into(),
+            vec![TaskRun::new(k, k + 1, 1)],
+        )
+    });
+    let mut record = holder.to_record();
+    record.placed = placed.collect();
+    for version in 6..12 {
+        holder = Job::new(spec.clone(), 5, s(100));
+        holder.adopt(record, version, 0, s(100));
+        let gang = holder.gang.as_mut().expect("the job is a gang");
+        (0..3).for_each(|index| gang.mark_running(index));
+        record = holder.to_record();
+        assert_eq!(record.attempts, []);
+    }
+    let gang = holder.gang.as_mut().expect("the job is a gang");
+    assert_eq!(drain_completely(gang, None), DrainOutcome::Blocked);
+}
