Log gangs that wait since their record would be too large

An accepted gang that its record's estimate keeps from being placed waited without a word. The shard now warns of it, with the number of tasks that the estimate allows, every 30 s.

--- a/crates/seamfront-core/src/job.rs
+++ b/crates/seamfront-core/src/job.rs
@@ -234,6 +234,8 @@
     pub completed_runs: CompletedRuns,
     /// Since when it has been waiting for its tasks to be placed.
     pub waiting_since: Micros,
+    /// Until when it is not logged again that the gang's record would be too large.
+    pub too_large_logged_until: Micros,
 }
 
 impl Job {
@@ -260,6 +262,7 @@
             consecutive_errors: 0,
             completed_runs: CompletedRuns::default(),
             waiting_since: now,
+            too_large_logged_until: Micros::ZERO,
         }
     }
 
--- a/crates/seamfront-core/src/scheduling/admission.rs
+++ b/crates/seamfront-core/src/scheduling/admission.rs
@@ -12,10 +12,14 @@
 use crate::types::{JobId, JobKind, JobSpec, Micros, Resources, Team};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use tracing::warn;
 
 /// A preempted task is expected to have ended after one and a quarter heartbeat intervals plus this margin.
 const PREEMPTION_MARGIN: Micros = Micros::from_secs(1);
 
+/// Interval between two log lines about a gang whose record would be too large.
+const TOO_LARGE_LOG_INTERVAL: Micros = Micros::from_secs(30);
+
 /// A pending job, with what a cycle needs to know to schedule it.
 struct PendingJob {
     id: JobId,
@@ -54,6 +58,10 @@
             return;
         };
         let pending = self.pending_job(context, job, team, guaranteed, cycle);
+        let recordable = job.record_headroom(&context.layout);
+        if pending.is_gang && recordable < job.unplaced() {
+            self.log_gang_too_large(context, id, recordable);
+        }
         if pending.wanted == 0 || (pending.is_gang && pending.wanted < pending.spec.tasks) {
             // A gang that waits for quota reserves free capacity meanwhile. Otherwise it would wait for quota first and
             // for capacity after that.
@@ -233,6 +241,19 @@
         })
     }
 
+    /// Logs, at intervals, that a gang is not placed since the store might not accept its record.
+    fn log_gang_too_large(&mut self, context: &Context, id: &JobId, recordable: u32) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if context.now < job.too_large_logged_until {
+            return;
+        }
+        job.too_large_logged_until = context.now + TOO_LARGE_LOG_INTERVAL;
+        let value_bytes = context.layout.value_bytes;
+        warn!(gang = %id, tasks = job.spec.tasks, recordable, value_bytes, "gang not placed: its record would be too large for the store");
+    }
+
     /// Places tasks of a live service on machines that have its image cached, if fetching the image would take longer
     /// than preempting work there. Only tasks with checkpoints are preempted, and at once: they lose what they did
     /// since their last checkpoint. Returns the number of tasks that are placed or wait for capacity being freed.
