Count a gang's record by its machines, not by its members

Cause: before a gang was placed, its record was estimated as if each member had a machine of its own and had used up an attempt, 42 bytes each. Members that share a machine are written as one run, and attempts only for members that failed.

Change: whether a gang's record fits is counted once the machines for all its members are chosen, one run for each machine; members on a machine get consecutive numbers, so that this is what is written. Arrays and services are estimated as before: they need not be placed all at once.

--- a/crates/seamfront-core/src/job.rs
+++ b/crates/seamfront-core/src/job.rs
@@ -7,7 +7,7 @@
     queue_rank, JobKind, JobSpec, MachineId, MachineType, Micros, Priority, START_DEADLINE,
 };
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 /// Number of consecutive errors from which on a job is assumed to fail on every machine.
@@ -342,32 +342,59 @@
 
     /// How many more tasks may be placed before the record could outgrow what the store accepts. Placed tasks are
     /// counted as they are written, in runs on a machine. Tasks still to be placed are counted as if each had a machine
-    /// of its own.
+    /// of its own: those of arrays and services need not be placed all at once, and are counted as they are written after
+    /// that. Whether a gang may be placed as a whole is told by [`Job::gang_fits_record`].
     pub fn record_headroom(&self, layout: &Layout) -> u32 {
-        let run_bytes = self.run_bytes();
+        let longest_name = self.tasks.values().map(|p| p.machine.as_str().len()).max();
+        let task_bytes = self.machine_bytes(longest_name.unwrap_or(0).max(MIN_MACHINE_NAME_BYTES));
+        let capacity = self.list_capacity(layout);
+        (capacity.saturating_sub(self.list_bytes()) / task_bytes) as u32
+    }
+
+    /// Whether the record of a gang fits into the store once its members are placed on these machines, each of which may
+    /// occur repeatedly. The members on a machine are written as one run.
+    pub fn gang_fits_record<'a>(
+        &self,
+        layout: &Layout,
+        machines: impl Iterator<Item = &'a MachineId>,
+    ) -> bool {
+        let distinct: BTreeSet<&MachineId> = machines.collect();
+        let placed: usize = distinct
+            .into_iter()
+            .map(|machine| self.machine_bytes(machine.as_str().len()))
+            .sum();
+        self.list_bytes() + placed <= self.list_capacity(layout)
+    }
+
+    /// Bytes for the entries of the record's lists that the store is certain to accept.
+    fn list_capacity(&self, layout: &Layout) -> usize {
         let fixed_bytes = RECORD_FIXED_BYTES + self.spec.team.len();
-        let mut used = self.done.range_count() * (run_bytes + 1);
+        layout
+            .value_bytes
+            .saturating_sub(fixed_bytes)
+            .max(layout.parts_capacity())
+    }
+
+    /// Maximum number of bytes that the entries of the record's lists take now.
+    fn list_bytes(&self) -> usize {
+        let run_bytes = self.run_bytes();
+        let mut bytes = self.done.range_count() * (run_bytes + 1);
         if let Some(gang) = &self.gang {
-            used += gang.attempts.iter().filter(|a| **a > 0).count() * run_bytes;
+            bytes += gang.charged_attempts().count() * run_bytes;
         }
-        let mut longest_name = MIN_MACHINE_NAME_BYTES;
         let mut run_end: Option<(&MachineId, u32, u64)> = None;
         for (index, p) in &self.tasks {
-            let name = p.machine.as_str().len();
             if run_end != Some((&p.machine, *index, p.attempt)) {
-                used += run_bytes + name + MACHINE_PUNCTUATION_BYTES;
+                bytes += self.machine_bytes(p.machine.as_str().len());
             }
-            longest_name = longest_name.max(name);
             run_end = Some((&p.machine, *index + 1, p.attempt));
         }
-        // Each placed gang member also adds an entry to the used attempts.
-        let attempt_bytes = if self.gang.is_some() { run_bytes } else { 0 };
-        let task_bytes = run_bytes + longest_name + MACHINE_PUNCTUATION_BYTES + attempt_bytes;
-        let capacity = layout
-            .value_bytes
-            .saturating_sub(fixed_bytes)
-            .max(layout.parts_capacity());
-        (capacity.saturating_sub(used) / task_bytes) as u32
+        bytes
+    }
+
+    /// Maximum number of bytes of a machine's entry with one run of tasks.
+    fn machine_bytes(&self, name_bytes: usize) -> usize {
+        self.run_bytes() + name_bytes + MACHINE_PUNCTUATION_BYTES
     }
 
     /// Maximum number of bytes that a run of tasks takes in the record.
--- a/crates/seamfront-core/src/record.rs
+++ b/crates/seamfront-core/src/record.rs
@@ -147,6 +147,11 @@
         Layout { value_bytes, parts }
     }
 
+    /// Bytes of a record that are guaranteed to fit.
+    pub fn capacity(&self) -> usize {
+        self.value_bytes.max(self.parts_capacity())
+    }
+
     /// Bytes of list entries that are guaranteed to fit into the parts.
     pub fn parts_capacity(&self) -> usize {
         let filled = self.value_bytes * FILL_NUMERATOR / FILL_DENOMINATOR;
--- a/crates/seamfront-core/src/scheduling/admission.rs
+++ b/crates/seamfront-core/src/scheduling/admission.rs
@@ -58,10 +58,6 @@
             return;
         };
         let pending = self.pending_job(context, job, team, guaranteed, cycle);
-        let recordable = job.record_headroom(&context.layout);
-        if pending.is_gang && recordable < job.unplaced() {
-            self.log_gang_too_large(context, id, recordable);
-        }
         if pending.wanted == 0 || (pending.is_gang && pending.wanted < pending.spec.tasks) {
             // A gang that waits for quota reserves free capacity meanwhile. Otherwise it would wait for quota first and
             // for capacity after that.
@@ -156,10 +152,16 @@
             .quota
             .headroom(team, spec.task_resources, reserved)
             .min(i64::from(u32::MAX)) as u32;
+        let recordable = if job.gang.is_some() {
+            // Depends on how many machines the gang is placed on, see `Job::gang_fits_record`.
+            u32::MAX
+        } else {
+            job.record_headroom(&context.layout)
+        };
         let wanted = job
             .unplaced()
             .min(quota)
-            .min(job.record_headroom(&context.layout))
+            .min(recordable)
             .min(job.remaining_attempts());
         // A starving array gets its raised rank for one task only. The others are queued by the array's own priority.
         if starving && spec.kind == JobKind::Array {
@@ -232,17 +234,22 @@
                 break;
             }
         }
-        if !plan.is_empty() {
-            self.place_tasks(context, &pending.id, &plan);
+        let machines = plan.iter().map(|planned| &planned.machine);
+        let fits = !pending.is_gang || job.gang_fits_record(&context.layout, machines);
+        let placed = fits && !plan.is_empty();
+        if placed {
+            self.place_tasks(context, &pending.id, plan);
+        } else if !plan.is_empty() {
+            self.log_gang_too_large(context, &pending.id);
         }
         Some(Assigned {
             tasks: missing - rest,
-            placed: !plan.is_empty(),
+            placed,
         })
     }
 
-    /// Logs, at intervals, that a gang is not placed since the store might not accept its record.
-    fn log_gang_too_large(&mut self, context: &Context, id: &JobId, recordable: u32) {
+    /// Logs, at intervals, that a gang is not placed since the store would not accept its record.
+    fn log_gang_too_large(&mut self, context: &Context, id: &JobId) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -250,8 +257,8 @@
             return;
         }
         job.too_large_logged_until = context.now + TOO_LARGE_LOG_INTERVAL;
-        let value_bytes = context.layout.value_bytes;
-        warn!(gang = %id, tasks = job.spec.tasks, recordable, value_bytes, "gang not placed: its record would be too large for the store");
+        let capacity = context.layout.capacity();
+        warn!(gang = %id, tasks = job.spec.tasks, capacity, "gang not placed: its record would be too large for the store");
     }
 
     /// Places tasks of a live service on machines that have its image cached, if fetching the image would take longer
@@ -287,7 +294,7 @@
             &mut plan,
         );
         if !plan.is_empty() {
-            self.place_tasks(context, id, &plan);
+            self.place_tasks(context, id, plan);
         }
         if assigned == wanted {
             return assigned;
--- a/crates/seamfront-core/src/scheduling/assignment.rs
+++ b/crates/seamfront-core/src/scheduling/assignment.rs
@@ -19,8 +19,10 @@
         &mut self,
         context: &mut Context,
         id: &JobId,
-        plan: &[PlannedPlacement],
+        mut plan: Vec<PlannedPlacement>,
     ) {
+        // Tasks on one machine get consecutive numbers, so that the record lists them as one run.
+        plan.sort_by(|a, b| a.machine.cmp(&b.machine));
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -38,7 +40,7 @@
         let promoted = job.starving(context.wall_time, context.types);
         let slowest_ms = plan.iter().map(|p| p.fetch_ms).max().unwrap_or(0);
         let tasks = job.next_tasks(plan.len() as u32);
-        for (index, planned) in tasks.into_iter().zip(plan) {
+        for (index, planned) in tasks.into_iter().zip(&plan) {
             let delay = if is_gang {
                 member_delay(context, slowest_ms, planned.fetch_ms)
             } else {
--- a/crates/seamfront-core/tests/records.rs
+++ b/crates/seamfront-core/tests/records.rs
@@ -230,6 +230,37 @@
     );
 }
 
+/// Guards against gangs that are accepted and never begin (`docs/incidents/gangs-counted-by-members.md`): each member was
+/// counted as if it had a machine of its own in the record and had used up an attempt. Four members fit on a machine.
+#[test]
+fn a_gang_of_many_members_begins_where_they_share_machines() {
+    scenario("records.gangs_of_many_members_share_machines");
+    let large_values = (SMALL.value_bytes, SMALL.max_txn_changes);
+    let small_values = (VALUE_BYTES, TRANSACTION_CHANGES);
+    for (members, (value_bytes, max_txn_changes)) in [(400, small_values), (900, large_values)] {
+        init_logging_if_selected(3_200);
+        let scale = Scale {
+            value_bytes,
+            max_txn_changes,
+            ..scale_with_small_values(members as usize / 4 + 5)
+        };
+        let mut simulation = Simulation::sized(3_200, scale);
+        simulation.faults_end = ms(1_000);
+        let mut spec = simulation.job(1);
+        (spec.kind, spec.class, spec.team) = (JobKind::Gang, "large".into(), "a".into());
+        (spec.tasks, spec.priority) = (members, Priority::Urgent);
+        spec.task_resources = Resources::rounded_up(1.0, 0.0, 1.0);
+        (spec.zone, spec.one_zone, spec.spread, spec.spot) = (None, false, false, true);
+        simulation.submit(ms(15_000), spec);
+        simulation.run_until(ms(105_000));
+        assert_eq!(
+            simulation.unfinished_jobs(),
+            Vec::<String>::new(),
+            "{members} members, values of {value_bytes} bytes"
+        );
+    }
+}
+
 /// Controllers of the version in production and of this one run side by side and are upgraded one by one under faults
 /// of all kinds. Afterwards a pipeline of dependent jobs and a job whose record is split into parts are submitted.
 #[test]
