Refuse gangs that need more machines than a record names, and let records name more

Cause: a gang's record is written in one transaction. Nothing checked at submission whether it could be, and with values of 16 and 32 KiB the parts were bounded by a count as if each were full: one part of 32 KiB.

Change: parts may fill 56,000 bytes of a transaction of 64 KiB. The largest number of machines that a record can name follows from the limits of the store, the smaller of the present and the announced ones; a gang that needs more, counted with the largest machines that it may use, gets 422 with both numbers. Where there are more usable machines than that, a gang is placed on those first that take the most of its members. What arrays and services may fill is as before.

Figures: 1,458 machines for 4,000 tasks, 616 with 2 KiB and 16 changes.

Exclusion: writing a record in several transactions would lift the bound; it is not done here.

--- a/crates/seamfront-core/src/job.rs
+++ b/crates/seamfront-core/src/job.rs
@@ -2,7 +2,7 @@
 
 use crate::gang::{Gang, Member};
 use crate::ranges::RangeSet;
-use crate::record::{Layout, Position, TaskRun, TaskRuns, WorkRecord};
+use crate::record::{machine_bytes, run_bytes, Layout, Position, TaskRun, TaskRuns, WorkRecord};
 use crate::types::{
     queue_rank, JobKind, JobSpec, MachineId, MachineType, Micros, Priority, START_DEADLINE,
 };
@@ -17,13 +17,12 @@
 
 /// Bytes of a record's fixed fields, without the name of the team.
 const RECORD_FIXED_BYTES: usize = 200;
-/// Bytes of the punctuation of a run of tasks in a record.
-const RUN_PUNCTUATION_BYTES: usize = 5;
-/// Bytes of the punctuation of a machine's entry in a record.
-const MACHINE_PUNCTUATION_BYTES: usize = 6;
 /// Bytes that are assumed for the longest name of a machine, unless a longer one is in use.
 const MIN_MACHINE_NAME_BYTES: usize = 12;
 
+/// Epoch that a gang is assumed not to exceed when it is submitted.
+const MAX_EXPECTED_EPOCH: u64 = 99_999;
+
 /// State of a placed task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -359,20 +358,27 @@
         machines: impl Iterator<Item = &'a MachineId>,
     ) -> bool {
         let distinct: BTreeSet<&MachineId> = machines.collect();
-        let placed: usize = distinct
-            .into_iter()
-            .map(|machine| self.machine_bytes(machine.as_str().len()))
-            .sum();
-        self.list_bytes() + placed <= self.list_capacity(layout)
+        let names = distinct.into_iter().map(|machine| machine.as_str().len());
+        let placed: usize = names.map(|bytes| self.machine_bytes(bytes)).sum();
+        self.list_bytes() + placed <= self.gang_capacity(layout)
+    }
+
+    /// Whether the record of a gang fits into the store on whichever of this many machines it is placed.
+    pub fn gang_fits_record_anywhere(&self, layout: &Layout, machines: usize) -> bool {
+        let machines = machines.min(self.spec.tasks as usize);
+        let placed = machines * self.machine_bytes(MIN_MACHINE_NAME_BYTES);
+        self.list_bytes() + placed <= self.gang_capacity(layout)
+    }
+
+    /// Bytes for the entries of the record's lists that the store accepts when a gang is placed.
+    pub fn gang_capacity(&self, layout: &Layout) -> usize {
+        let entry_bytes = self.machine_bytes(MIN_MACHINE_NAME_BYTES);
+        gang_list_capacity(&self.spec, layout, entry_bytes)
     }
 
     /// Bytes for the entries of the record's lists that the store is certain to accept.
     fn list_capacity(&self, layout: &Layout) -> usize {
-        let fixed_bytes = RECORD_FIXED_BYTES + self.spec.team.len();
-        layout
-            .value_bytes
-            .saturating_sub(fixed_bytes)
-            .max(layout.parts_capacity())
+        whole_list_capacity(&self.spec, layout).max(layout.parts_capacity())
     }
 
     /// Maximum number of bytes that the entries of the record's lists take now.
@@ -394,15 +400,13 @@
 
     /// Maximum number of bytes of a machine's entry with one run of tasks.
     fn machine_bytes(&self, name_bytes: usize) -> usize {
-        self.run_bytes() + name_bytes + MACHINE_PUNCTUATION_BYTES
+        machine_bytes(self.run_bytes(), name_bytes)
     }
 
     /// Maximum number of bytes that a run of tasks takes in the record.
     fn run_bytes(&self) -> usize {
-        let digits = |n: u64| n.checked_ilog10().unwrap_or(0) as usize + 1;
-        RUN_PUNCTUATION_BYTES
-            + 2 * digits(u64::from(self.spec.tasks))
-            + digits(self.next_attempt + 1)
+        let epoch = self.gang.as_ref().map_or(0, |gang| gang.epoch);
+        run_bytes(self.spec.tasks, self.next_attempt.max(epoch) + 1)
     }
 
     /// Number of tasks that are running and not being stopped.
@@ -494,3 +498,21 @@
         }
     }
 }
+
+/// Bytes that a record in one value has for the entries of its lists.
+fn whole_list_capacity(spec: &JobSpec, layout: &Layout) -> usize {
+    let fixed_bytes = RECORD_FIXED_BYTES + spec.team.len();
+    layout.value_bytes.saturating_sub(fixed_bytes)
+}
+
+/// Bytes that the record of a gang has for entries of at most `entry_bytes` each when the gang is placed.
+fn gang_list_capacity(spec: &JobSpec, layout: &Layout, entry_bytes: usize) -> usize {
+    whole_list_capacity(spec, layout).max(layout.gang_capacity(entry_bytes))
+}
+
+/// Maximum number of machines that a gang may be placed on for the store to accept its record.
+pub fn max_gang_machines(spec: &JobSpec, layout: &Layout) -> usize {
+    let run_bytes = run_bytes(spec.tasks, MAX_EXPECTED_EPOCH);
+    let entry_bytes = machine_bytes(run_bytes, MIN_MACHINE_NAME_BYTES);
+    gang_list_capacity(spec, layout, entry_bytes) / entry_bytes
+}
--- a/crates/seamfront-core/src/placement.rs
+++ b/crates/seamfront-core/src/placement.rs
@@ -154,6 +154,9 @@
     pub accelerator_idle_timeout: Option<Micros>,
     /// Whether only machines that have the job's image cached may be used.
     pub require_cached_image: bool,
+    /// Whether machines that can take the most tasks come first, so that the tasks are placed on as few machines as
+    /// possible.
+    pub few_machines: bool,
 }
 
 /// Candidates in one zone.
@@ -186,6 +189,9 @@
 
 /// Upper bound for the number of tasks that fit on one machine, which is unlimited for tasks that need no resources.
 const MAX_TASKS_PER_MACHINE: i64 = 1 << 20;
+/// Where a job is to be placed on few machines: how much each task more that fits on a machine weighs, in milliseconds.
+/// It exceeds all other costs.
+const FEW_MACHINES_MS: i64 = 1_000_000_000;
 /// Assumed rate of image fetches on a machine of an unknown type, in MB/s.
 const DEFAULT_FETCH_MB_S: i64 = 100;
 
@@ -199,6 +205,7 @@
             types,
             accelerator_idle_timeout: None,
             require_cached_image: false,
+            few_machines: false,
         }
     }
 
@@ -294,9 +301,14 @@
     /// Cost of placing a task on a machine with this free capacity; lower is better. Besides the time to fetch the
     /// image, the machine with the lowest share of free CPUs is preferred, so that others become empty and can be
     /// terminated.
-    fn cost(&self, m: &Machine, free: Resources) -> i64 {
+    fn cost(&self, m: &Machine, free: Resources, fits: i64) -> i64 {
         let free_per_mille = 1_000 * free.cpus.max(0) / m.size.cpus.max(1);
-        self.spot_mismatch_ms(m) + self.fetch_ms(m) + free_per_mille
+        let cost = self.spot_mismatch_ms(m) + self.fetch_ms(m) + free_per_mille;
+        if self.few_machines {
+            cost - fits * FEW_MACHINES_MS
+        } else {
+            cost
+        }
     }
 
     /// Machines with enough capacity for at least one task, best first.
@@ -311,10 +323,13 @@
         let mut found: Vec<Candidate> = self
             .eligible_machines(machines, capacity, |index, _| fits(index) > 0)
             .into_iter()
-            .map(|(index, m)| Candidate {
-                cost: self.cost(m, available(index)),
-                index,
-                fits: fits(index).min(MAX_TASKS_PER_MACHINE) as u32,
+            .map(|(index, m)| {
+                let fits = fits(index).min(MAX_TASKS_PER_MACHINE);
+                Candidate {
+                    cost: self.cost(m, available(index), fits),
+                    index,
+                    fits: fits as u32,
+                }
             })
             .collect();
         found.sort_unstable();
--- a/crates/seamfront-core/src/port/users.rs
+++ b/crates/seamfront-core/src/port/users.rs
@@ -14,6 +14,29 @@
     /// One task of a job array, or all tasks together of any other job, exceed the team's limit.
     #[error("the job needs more than its team's limit")]
     OverLimit,
+    /// A gang needs more machines than its record can name.
+    #[error(
+        "paes: the gang needs at least {needed} machines, and its record can name {most} at most"
+    )]
+    TooManyMachines {
+        /// Number of machines that it needs at least.
+        needed: usize,
+        /// Number of machines that a record of it can name.
+        most: usize,
+    },
+    /// Its tasks may not all be in one zone, and no two zones have machines that it may use.
+    #[error("scatter: the gang needs machines in two zones, and may use those of one")]
+    OneZoneOnly,
+    /// Its texts (class, team, image, zone, machine types) take more than half of a value of the store.
+    #[error(
+        "fornada, equipe, receita, praca and modelos take {bytes} bytes together, more than {most}"
+    )]
+    TextsTooLong {
+        /// Number of bytes of the texts.
+        bytes: usize,
+        /// Maximum number of bytes.
+        most: usize,
+    },
     /// One of its dependencies was never accepted.
     #[error("espera: {0} was never accepted")]
     UnknownDependency(JobId),
--- a/crates/seamfront-core/src/record.rs
+++ b/crates/seamfront-core/src/record.rs
@@ -116,12 +116,17 @@
     pub value_bytes: usize,
     /// Maximum number of parts besides the head; 0 while some controller may run a version that cannot read parts.
     pub parts: usize,
+    /// Maximum bytes of all parts together.
+    pub parts_bytes: usize,
 }
 
 /// Operations of a transaction that are not available for parts: the head, the job and its end, and one in reserve.
 const NON_PART_OPERATIONS: usize = 4;
-/// Maximum bytes of all parts together, well below the size limit of a transaction.
-const MAX_PARTS_BYTES: usize = 44_000;
+/// Maximum bytes of all parts together. With the keys and the head they stay below the size limit of a transaction,
+/// 64 KiB.
+const MAX_PARTS_BYTES: usize = 56_000;
+/// Maximum bytes of parts that tasks which need not be placed all at once may fill.
+const MAX_PARTLY_FILLED_BYTES: usize = 44_000;
 /// Bytes of each part that are reserved for its JSON syntax and for the head's fixed fields.
 const PART_OVERHEAD_BYTES: usize = 40;
 /// When tasks are placed, only `FILL_NUMERATOR / FILL_DENOMINATOR` of each part's bytes are assumed to be usable, since
@@ -129,6 +134,12 @@
 const FILL_NUMERATOR: usize = 2;
 /// See [`FILL_NUMERATOR`].
 const FILL_DENOMINATOR: usize = 3;
+/// A sixteenth of what the parts hold is not used when a gang is placed, so that its record can grow while it runs.
+const GANG_GROWTH_DIVISOR: usize = 16;
+/// Bytes of the punctuation of a run of tasks in a record.
+const RUN_PUNCTUATION_BYTES: usize = 5;
+/// Bytes of the punctuation of a machine's entry in a record.
+const MACHINE_PUNCTUATION_BYTES: usize = 6;
 
 impl Layout {
     /// Only whole records, without parts.
@@ -136,29 +147,51 @@
         Layout {
             value_bytes,
             parts: 0,
+            parts_bytes: 0,
         }
     }
 
     /// Records with as many parts as one transaction can write and delete.
     pub fn in_parts(value_bytes: usize, max_txn_changes: usize) -> Layout {
-        let parts = max_txn_changes
-            .saturating_sub(NON_PART_OPERATIONS)
-            .min(MAX_PARTS_BYTES / value_bytes.max(1));
-        Layout { value_bytes, parts }
-    }
-
-    /// Bytes of a record that are guaranteed to fit.
-    pub fn capacity(&self) -> usize {
-        self.value_bytes.max(self.parts_capacity())
+        Layout {
+            value_bytes,
+            parts: max_txn_changes.saturating_sub(NON_PART_OPERATIONS),
+            parts_bytes: MAX_PARTS_BYTES,
+        }
     }
 
-    /// Bytes of list entries that are guaranteed to fit into the parts.
+    /// Bytes of list entries that are guaranteed to fit into the parts, however the entries change.
     pub fn parts_capacity(&self) -> usize {
         let filled = self.value_bytes * FILL_NUMERATOR / FILL_DENOMINATOR;
-        self.parts * filled.saturating_sub(PART_OVERHEAD_BYTES)
+        let parts = self
+            .parts
+            .min(MAX_PARTLY_FILLED_BYTES / self.value_bytes.max(1));
+        parts * filled.saturating_sub(PART_OVERHEAD_BYTES)
+    }
+
+    /// Bytes of list entries of at most `entry_bytes` each that fit into the parts when a record is first written.
+    pub fn gang_capacity(&self, entry_bytes: usize) -> usize {
+        // Less than an entry is left free at the end of each part.
+        let filled = self
+            .value_bytes
+            .saturating_sub(PART_OVERHEAD_BYTES + entry_bytes);
+        let bytes = (self.parts * filled).min(self.parts_bytes);
+        bytes - bytes / GANG_GROWTH_DIVISOR
     }
 }
 
+/// Maximum number of bytes that a run of tasks takes in the record of a job with this many tasks, for attempt numbers up
+/// to `attempt`.
+pub fn run_bytes(tasks: u32, attempt: u64) -> usize {
+    let digits = |n: u64| n.checked_ilog10().unwrap_or(0) as usize + 1;
+    RUN_PUNCTUATION_BYTES + 2 * digits(u64::from(tasks)) + digits(attempt)
+}
+
+/// Maximum number of bytes that a machine with one run of tasks takes in a record.
+pub fn machine_bytes(run_bytes: usize, name_bytes: usize) -> usize {
+    run_bytes + name_bytes + MACHINE_PUNCTUATION_BYTES
+}
+
 /// Sort key of an entry of a record's lists. Entries are divided into parts in this order.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Position {
@@ -366,6 +399,9 @@
 ) -> Option<Vec<Position>> {
     let part_capacity = layout.value_bytes.saturating_sub(PART_OVERHEAD_BYTES);
     let total: usize = sizes.iter().sum();
+    if total > layout.parts_bytes {
+        return None;
+    }
     // The record has shrunk so much that fewer parts suffice.
     let sparse = total * 4 < part_capacity * previous.len();
     if !previous.is_empty() && previous.len() < layout.parts && !sparse {
--- a/crates/seamfront-core/src/scheduling/admission.rs
+++ b/crates/seamfront-core/src/scheduling/admission.rs
@@ -199,6 +199,8 @@
         let spec = &pending.spec;
         let mut tasks_by_zone = self.tasks_by_zone(job);
         let mut placement = PlacementRequest::of(job, context.now, context.types);
+        placement.few_machines = pending.is_gang
+            && !job.gang_fits_record_anywhere(&context.layout, cycle.capacity.machines.len());
         let mut plan: Vec<PlannedPlacement> = Vec::new();
         let policy = if pending.is_gang {
             FillPolicy::AllOrNothing
@@ -257,7 +259,7 @@
             return;
         }
         job.too_large_logged_until = context.now + TOO_LARGE_LOG_INTERVAL;
-        let capacity = context.layout.capacity();
+        let capacity = job.gang_capacity(&context.layout);
         warn!(gang = %id, tasks = job.spec.tasks, capacity, "gang not placed: its record would be too large for the store");
     }
 
--- /dev/null
+++ b/crates/seamfront-core/src/user_api/feasibility.rs
@@ -0,0 +1,60 @@
+//! Whether a submitted job can ever run: a job that cannot is refused with the reason, since an accepted one must run.
+
+use super::UserContext;
+use crate::job::max_gang_machines;
+use crate::port::SubmissionError;
+use crate::quota::within_limit;
+use crate::record::Layout;
+use crate::types::{JobKind, JobSpec, MachineType};
+
+impl UserContext<'_> {
+    /// Checks whether a job can ever run: some machine type fits a task, the team's limit allows it, and the store
+    /// accepts its records.
+    pub(super) fn check_feasible(&self, spec: &JobSpec) -> Result<(), SubmissionError> {
+        let settings = self.job_context.settings;
+        let team = settings.team(&spec.team);
+        let team = team.ok_or(SubmissionError::UnknownTeam)?;
+        let types = suitable_types(self.machine_types, spec);
+        if types.is_empty() {
+            return Err(SubmissionError::NoMachineFits);
+        }
+        if !within_limit(team, spec) {
+            return Err(SubmissionError::OverLimit);
+        }
+        if spec.kind == JobKind::Gang {
+            let layout = Layout::in_parts(settings.value_bytes, settings.max_txn_changes);
+            check_gang_record(spec, &types, &layout)?;
+        }
+        Ok(())
+    }
+}
+
+/// Machine types that fit a task and that the job allows, in some zone.
+fn suitable_types<'t>(types: &'t [MachineType], spec: &JobSpec) -> Vec<&'t MachineType> {
+    let fits = |t: &&MachineType| {
+        t.size.fits(spec.task_resources) > 0
+            && t.zones.iter().any(|z| spec.allows(&t.name, z, false))
+    };
+    types.iter().filter(fits).collect()
+}
+
+/// Checks that the record of a gang can name the machines that it needs at least. A gang is recorded as a whole.
+fn check_gang_record(
+    spec: &JobSpec,
+    types: &[&MachineType],
+    layout: &Layout,
+) -> Result<(), SubmissionError> {
+    let tasks = i64::from(spec.tasks);
+    let most_on_a_machine = types
+        .iter()
+        .map(|t| t.size.fits(spec.task_resources))
+        .max()
+        .unwrap_or(1)
+        .clamp(1, tasks.max(1));
+    let needed = (tasks as usize).div_ceil(most_on_a_machine as usize);
+    let most = max_gang_machines(spec, layout);
+    if needed > most {
+        return Err(SubmissionError::TooManyMachines { needed, most });
+    }
+    Ok(())
+}
--- a/crates/seamfront-core/src/user_api/mod.rs
+++ b/crates/seamfront-core/src/user_api/mod.rs
@@ -6,6 +6,7 @@
 
 mod cancellation;
 mod dependency_check;
+mod feasibility;
 mod lookup;
 mod status;
 mod submission;
--- a/crates/seamfront-core/src/user_api/submission.rs
+++ b/crates/seamfront-core/src/user_api/submission.rs
@@ -1,4 +1,4 @@
-//! Submissions: checks whether a job can ever run, and creates jobs in batches.
+//! Submissions: creates jobs in batches, and refuses those that can never run.
 
 use super::lookup::answer_stored_end;
 use super::{
@@ -6,8 +6,7 @@
 };
 use crate::jobs::JobRecordKind;
 use crate::port::{Answer, ClientRequestId, StoreReply, StoreRequest, SubmissionError, Write};
-use crate::quota::within_limit;
-use crate::types::{JobSpec, MachineType};
+use crate::types::JobSpec;
 use std::rc::Rc;
 use tracing::info;
 
@@ -17,25 +16,6 @@
 /// Estimated bytes of a job's record without its lists and the name of its image.
 const RECORD_BASE_BYTES: usize = 600;
 
-impl UserContext<'_> {
-    /// Checks whether a job can ever run: some machine type fits a task, and the team's limit allows it.
-    fn check_feasible(&self, spec: &JobSpec) -> Result<(), SubmissionError> {
-        let team = self.job_context.settings.team(&spec.team);
-        let team = team.ok_or(SubmissionError::UnknownTeam)?;
-        let fits = |t: &MachineType| {
-            t.size.fits(spec.task_resources) > 0
-                && t.zones.iter().any(|z| spec.allows(&t.name, z, false))
-        };
-        if !self.machine_types.iter().any(fits) {
-            return Err(SubmissionError::NoMachineFits);
-        }
-        if !within_limit(team, spec) {
-            return Err(SubmissionError::OverLimit);
-        }
-        Ok(())
-    }
-}
-
 impl UserApi {
     /// Handles a user's submission of a job.
     pub(crate) fn submit(
--- a/crates/seamfront-core/tests/forms.rs
+++ b/crates/seamfront-core/tests/forms.rs
@@ -125,6 +125,7 @@
         &Layout {
             value_bytes: 120,
             parts: 6,
+            parts_bytes: 720,
         },
         &[],
     )
--- a/crates/seamfront-core/tests/memory.rs
+++ b/crates/seamfront-core/tests/memory.rs
@@ -1,9 +1,8 @@
 //! Memory that one controller holds for jobs with many dependencies, in bytes as the allocator counts them.
 
 use peak_alloc::PeakAlloc;
-use seamfront_core::port::{Command, Effect};
 use seamfront_core::types::{JobId, JobSpec, Micros, Priority};
-use seamfront_core::Engine;
+use seamfront_testing::engine_harness::EngineHarness;
 use seamfront_testing::shard_harness::{job, settings};
 use seamfront_testing::store::Store;
 
@@ -48,22 +47,6 @@
     dependencies
 }
 
-/// Steps the engine for three seconds, with the store alone.
-fn step_with_store(engine: &mut Engine, store: &mut Store) {
-    let mut commands = Vec::new();
-    for tick in 1..=60 {
-        let now = Micros::from_millis(50 * tick);
-        let effects = engine.step(now, now, std::mem::take(&mut commands));
-        for effect in effects {
-            if let Effect::Store { call, request } = effect {
-                if let Some(reply) = store.execute(now, &request) {
-                    commands.push(Command::Store { call, reply });
-                }
-            }
-        }
-    }
-}
-
 /// Guards against copies of the lists that users have submitted (`docs/incidents/urgency-along-every-path.md`): a list is
 /// kept once, as the edges of the graph, and is not copied when the urgency of its job changes.
 #[test]
@@ -71,9 +54,9 @@
     let mut store = Store::with_page_size(PAGE);
     let dependencies = store_pipeline(&mut store);
     let before = ALLOCATOR.current_usage();
-    let mut engine = Engine::new(settings());
+    let mut harness = EngineHarness::new(settings(), store);
     ALLOCATOR.reset_peak_usage();
-    step_with_store(&mut engine, &mut store);
+    harness.run(Micros::from_secs(3));
     let held = (ALLOCATOR.current_usage() - before) / dependencies;
     let peak = (ALLOCATOR.peak_usage() - before) / dependencies;
     println!("{dependencies} dependencies: {held} bytes for each, {peak} at the peak");
--- a/crates/seamfront-core/tests/placement.rs
+++ b/crates/seamfront-core/tests/placement.rs
@@ -8,7 +8,7 @@
 };
 use seamfront_core::quota::{within_limit, Quota};
 use seamfront_core::types::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 fn spec(rng: &mut StdRng) -> JobSpec {
     JobSpec {
@@ -69,6 +69,7 @@
             types: &[],
             accelerator_idle_timeout: None,
             require_cached_image: false,
+            few_machines: false,
         };
         let partial = rng.random_range(0..2) == 0;
         let chosen = placement.choose(
@@ -140,6 +141,55 @@
     );
 }
 
+/// Guards against gangs that are spread over more machines than their record can name: without the flag, the fullest
+/// machines come first.
+#[test]
+fn a_job_for_few_machines_goes_to_those_with_the_most_room() {
+    let mut job = spec(&mut StdRng::seed_from_u64(9));
+    (job.types, job.zone, job.one_zone, job.spread) = (None, None, false, false);
+    (job.tasks, job.task_resources) = (8, Resources::rounded_up(1.0, 0.0, 1.0));
+    let machines: Machines = (0..8)
+        .map(|k| {
+            let record = MachineRecord {
+                shard: Some(0),
+                machine_type: "a".into(),
+                zone: "x".into(),
+                spot: false,
+            };
+            let id = MachineId::from(format!("m-{k}").as_str());
+            let size = Resources::rounded_down(8.0, 0.0, 16.0);
+            let mut machine = Machine::new(id.clone(), record, 1, size, Micros::ZERO);
+            let free = if k == 5 { 8 } else { 1 };
+            machine.used = job.task_resources.times(8 - free);
+            (id, machine)
+        })
+        .collect();
+    let capacity = FreeCapacity::of(machines.values());
+    let avoid = BTreeMap::new();
+    let distinct = |few_machines: bool| {
+        let placement = PlacementRequest {
+            spec: &job,
+            avoid: &avoid,
+            now: Micros::ZERO,
+            types: &[],
+            accelerator_idle_timeout: None,
+            require_cached_image: false,
+            few_machines,
+        };
+        let chosen = placement.choose(
+            &machines,
+            &capacity,
+            Availability::Now,
+            &BTreeMap::new(),
+            job.tasks,
+            FillPolicy::AllOrNothing,
+        );
+        assert_eq!(chosen.len(), 8);
+        chosen.into_iter().collect::<BTreeSet<usize>>().len()
+    };
+    assert_eq!((distinct(false), distinct(true)), (8, 1));
+}
+
 #[test]
 fn quota_headroom_never_lets_a_team_exceed_its_limit() {
     let mut rng = StdRng::seed_from_u64(8);
--- a/crates/seamfront-core/tests/records.rs
+++ b/crates/seamfront-core/tests/records.rs
@@ -1,11 +1,13 @@
 //! Work records that are split over several keys: their encoding, and simulated runs with small values, also with
 //! controllers of the version in production side by side.
 
+use seamfront_core::job::{max_gang_machines, Job};
 use seamfront_core::ranges::RangeSet;
 use seamfront_core::record::{
     decode, encode, parse_part_key, part_key, EncodedRecord, Layout, TaskRun, WorkRecord,
 };
 use seamfront_core::types::*;
+use seamfront_testing::shard_harness::job;
 use seamfront_testing::simulation::recording::scenario;
 use seamfront_testing::simulation::scenarios::{
     add_coverage, coverage_count, fault_pairs_of_all_kinds, init_logging_if_selected, Coverage,
@@ -13,9 +15,12 @@
 use seamfront_testing::simulation::{ms, Fault, Scale, Simulation, CONTROLLERS, SMALL};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 /// The largest value that the store is going to accept, in bytes.
 const VALUE_BYTES: usize = 2_048;
+/// Bytes that the values of a transaction may take, so that it stays below 64 KiB with its keys and conditions.
+const MAX_TRANSACTION_BYTES: usize = 60_000;
 /// The largest number of changes in a transaction that the store is going to accept.
 const TRANSACTION_CHANGES: usize = 16;
 
@@ -261,6 +266,71 @@
     }
 }
 
+/// Limits of the store on values and on changes in a transaction: those of all deployments, and those that two of them
+/// announce.
+const STORE_LIMITS: [(usize, usize); 3] = [
+    (SMALL.value_bytes, SMALL.max_txn_changes),
+    (16 * 1024, SMALL.max_txn_changes),
+    (VALUE_BYTES, TRANSACTION_CHANGES),
+];
+
+/// The figures that `docs/operating.md` states for gangs of 400, 4,000 and 40,000 tasks.
+#[test]
+fn records_name_as_many_machines_as_the_operating_page_says() {
+    let figures = STORE_LIMITS.map(|(value_bytes, max_txn_changes)| {
+        let layout = Layout::in_parts(value_bytes, max_txn_changes);
+        [400, 4_000, 40_000].map(|tasks| max_gang_machines(&job("j-000001", tasks), &layout))
+    });
+    let usual = [1_544, 1_458, 1_381];
+    assert_eq!(figures, [usual, usual, [653, 616, 583]]);
+}
+
+/// Guards against gangs whose record is counted as fitting and then can't be written: on as many machines as a
+/// submission may need, a gang of any size fits by the count, and its record can be written, in its first attempt and after
+/// thousands. Also while a member fails.
+#[test]
+fn the_record_of_a_gang_on_as_many_machines_as_are_accepted_can_be_written() {
+    for (value_bytes, max_txn_changes) in STORE_LIMITS {
+        let layout = Layout::in_parts(value_bytes, max_txn_changes);
+        for tasks in [1, 2, 16, 400, 800, 5_000, 40_000, 100_000] {
+            let spec = Rc::new(JobSpec {
+                kind: JobKind::Gang,
+                ..(*job("j-000001", tasks)).clone()
+            });
+            let machines = max_gang_machines(&spec, &layout).min(tasks as usize);
+            for epoch in [1, 9_999] {
+                let mut gang = Job::new(spec.clone(), 5, Micros::ZERO);
+                gang.gang.as_mut().expect("it is a gang").epoch = epoch;
+                let names: Vec<MachineId> = (0..machines)
+                    .map(|k| format!("i-{k:010}").as_str().into())
+                    .collect();
+                assert!(gang.gang_fits_record(&layout, names.iter()));
+                assert!(gang.gang_fits_record_anywhere(&layout, machines));
+                let mut record = gang.to_record();
+                let members_before = |k: usize| (k * tasks as usize / machines) as u32;
+                record.placed = (0..machines)
+                    .map(|k| TaskRun::new(members_before(k), members_before(k + 1), epoch))
+                    .zip(names)
+                    .map(|(run, name)| (name, vec![run]))
+                    .collect();
+                record.attempts = vec![(tasks - 1, 2)];
+                let encoded = encode(&record, &layout, &[]).unwrap_or_else(|| {
+                    panic!("{tasks} members on {machines} machines, values of {value_bytes} bytes")
+                });
+                assert!(encoded.parts.len() + 4 <= max_txn_changes);
+                assert!(encoded.bytes <= MAX_TRANSACTION_BYTES);
+                assert!(encoded
+                    .parts
+                    .iter()
+                    .chain([&encoded.head])
+                    .all(|value| value.to_string().len() <= value_bytes));
+                let decoded = decode(encoded.head.clone(), &numbered_parts(&encoded));
+                assert_eq!(decoded.unwrap(), record);
+            }
+        }
+    }
+}
+
 /// Controllers of the version in production and of this one run side by side and are upgraded one by one under faults
 /// of all kinds. Afterwards a pipeline of dependent jobs and a job whose record is split into parts are submitted.
 #[test]
--- a/crates/seamfront-testing/src/lib.rs
+++ b/crates/seamfront-testing/src/lib.rs
@@ -11,12 +11,14 @@
 //! | [`member_simulation`] | several members that hold duties, with a store and a cloud; a seed determines the run |
 //! | [`fleet_reconciler`] | the work that the members of that simulation and of the examples do under their duties |
 //! | [`shard_harness`] | one shard, driven step by step |
+//! | [`engine_harness`] | one engine with a store of its own |
 //!
 //! This crate is a development dependency only and is never published.
 #![forbid(unsafe_code)]
 
 pub mod cloud;
 pub mod controller_process;
+pub mod engine_harness;
 pub mod fleet_reconciler;
 pub mod http;
 pub mod member_simulation;
--- a/crates/seamfront/tests/forms.rs
+++ b/crates/seamfront/tests/forms.rs
@@ -154,6 +154,24 @@
             Answer::Rejected(SubmissionError::UnknownDependency("j-9".into())),
             r#"422 {"error":"espera: j-9 was never accepted"} None"#,
         ),
+        (
+            Answer::Rejected(SubmissionError::TooManyMachines {
+                needed: 900,
+                most: 800,
+            }),
+            r#"422 {"error":"paes: the gang needs at least 900 machines, and its record can name 800 at most"} None"#,
+        ),
+        (
+            Answer::Rejected(SubmissionError::OneZoneOnly),
+            r#"422 {"error":"scatter: the gang needs machines in two zones, and may use those of one"} None"#,
+        ),
+        (
+            Answer::Rejected(SubmissionError::TextsTooLong {
+                bytes: 3_000,
+                most: 1_024,
+            }),
+            r#"422 {"error":"fornada, equipe, receita, praca and modelos take 3000 bytes together, more than 1024"} None"#,
+        ),
         (
             Answer::RetryLater {
                 after: Micros::from_secs(3),
