Refuse spread gangs that may use machines of one zone only

What callers saw: a gang with `scatter` whose zone or machine types leave one zone was accepted and never placed, since at most half of it may be in one zone and all of it begins at once.

Change: such a gang of two or more tasks gets 422 with the reason. Arrays and services are not concerned, as half of their tasks may run.

Evidence: `a_spread_gang_that_may_use_one_zone_only_is_refused` fails without the check (accepted and queued).

--- a/crates/seamfront-core/src/user_api/feasibility.rs
+++ b/crates/seamfront-core/src/user_api/feasibility.rs
@@ -6,6 +6,7 @@
 use crate::quota::within_limit;
 use crate::record::Layout;
 use crate::types::{JobKind, JobSpec, MachineType};
+use std::collections::BTreeSet;
 
 impl UserContext<'_> {
     /// Checks whether a job can ever run: some machine type fits a task, the team's limit allows it, and the store
@@ -22,6 +23,7 @@
             return Err(SubmissionError::OverLimit);
         }
         if spec.kind == JobKind::Gang {
+            check_gang_zones(spec, &types)?;
             let layout = Layout::in_parts(settings.value_bytes, settings.max_txn_changes);
             check_gang_record(spec, &types, &layout)?;
         }
@@ -38,6 +40,22 @@
     types.iter().filter(fits).collect()
 }
 
+/// Checks that the members of a gang may be placed all at once: at most half of a spread job may be in one zone.
+fn check_gang_zones(spec: &JobSpec, types: &[&MachineType]) -> Result<(), SubmissionError> {
+    if spec.max_tasks_per_zone() >= spec.tasks {
+        return Ok(());
+    }
+    let zones: BTreeSet<&str> = types
+        .iter()
+        .flat_map(|t| t.zones.iter().filter(|z| spec.allows(&t.name, z, false)))
+        .map(String::as_str)
+        .collect();
+    if spec.one_zone || zones.len() < 2 {
+        return Err(SubmissionError::OneZoneOnly);
+    }
+    Ok(())
+}
+
 /// Checks that the record of a gang can name the machines that it needs at least. A gang is recorded as a whole.
 fn check_gang_record(
     spec: &JobSpec,
--- a/crates/seamfront-core/tests/submissions.rs
+++ b/crates/seamfront-core/tests/submissions.rs
@@ -94,3 +94,26 @@
         }
     }
 }
+
+/// Guards against gangs that are accepted and can never be placed: half of a spread gang may be in one zone.
+#[test]
+fn a_spread_gang_that_may_use_one_zone_only_is_refused() {
+    let spread = |tasks: u32| JobSpec {
+        spread: true,
+        ..gang("j-000001", tasks, 1.0)
+    };
+    assert!(accepted(&answer_to(&["x", "y"], spread(4))));
+    assert!(accepted(&answer_to(&["x"], spread(1))));
+    let refused = Answer::Rejected(SubmissionError::OneZoneOnly);
+    assert_eq!(answer_to(&["x"], spread(4)), refused);
+    let bound = JobSpec {
+        zone: Some("x".into()),
+        ..spread(4)
+    };
+    assert_eq!(answer_to(&["x", "y"], bound), refused);
+    let together = JobSpec {
+        one_zone: true,
+        ..spread(2)
+    };
+    assert_eq!(answer_to(&["x", "y"], together), refused);
+}
