Refuse jobs whose texts the store does not take, before they fail a batch

A job with long texts (class, image, machine types), within the 64 KiB of a request, does not fit a value of the store. The store answers the whole transaction with 400, so up to fifteen jobs of other users failed with it and were told to retry, and again with each retry of the first.

Change: the texts of a job may take half of a value; beyond that it gets 422 with both numbers, before it joins a batch.

Evidence: `a_job_with_texts_that_the_store_does_not_take_is_refused_and_others_are_accepted` fails without the check (the stand-in of the store refuses the value).

--- a/crates/seamfront-core/src/user_api/feasibility.rs
+++ b/crates/seamfront-core/src/user_api/feasibility.rs
@@ -27,7 +27,7 @@
             let layout = Layout::in_parts(settings.value_bytes, settings.max_txn_changes);
             check_gang_record(spec, &types, &layout)?;
         }
-        Ok(())
+        check_texts(spec, settings.value_bytes)
     }
 }
 
@@ -76,3 +76,22 @@
     }
     Ok(())
 }
+
+/// Checks that the store accepts the job's own record: its texts may take half of a value, and the other fields fit into
+/// the rest. A long list of dependencies is stored apart from it.
+fn check_texts(spec: &JobSpec, value_bytes: usize) -> Result<(), SubmissionError> {
+    let encoded = |text: &String| serde_json::to_string(text).map_or(0, |text| text.len());
+    let types = spec.types.iter().flatten();
+    let texts = [&spec.class, &spec.team, &spec.image];
+    let bytes: usize = texts
+        .into_iter()
+        .chain(&spec.zone)
+        .chain(types)
+        .map(encoded)
+        .sum();
+    let most = value_bytes / 2;
+    if bytes > most {
+        return Err(SubmissionError::TextsTooLong { bytes, most });
+    }
+    Ok(())
+}
--- a/crates/seamfront-core/tests/submissions.rs
+++ b/crates/seamfront-core/tests/submissions.rs
@@ -117,3 +117,24 @@
     };
     assert_eq!(answer_to(&["x", "y"], together), refused);
 }
+
+/// Guards against a submission that the store can't take and that makes all others of its batch fail with it, again
+/// with each retry: the store answers the whole transaction with 400.
+#[test]
+fn a_job_with_texts_that_the_store_does_not_take_is_refused_and_others_are_accepted() {
+    let mut harness = controller(&["z"]);
+    harness.submit(1, (*job("j-000001", 1)).clone());
+    let long = JobSpec {
+        class: "c".repeat(VALUE_BYTES),
+        ..(*job("j-000002", 1)).clone()
+    };
+    harness.submit(2, long);
+    harness.submit(3, (*job("j-000003", 1)).clone());
+    harness.run(Micros::from_secs(1));
+    assert!(accepted(&harness.answers[&1]));
+    assert!(accepted(&harness.answers[&3]));
+    assert!(matches!(
+        harness.answers[&2],
+        Answer::Rejected(SubmissionError::TextsTooLong { bytes, most }) if bytes > most
+    ));
+}
