--- a/crates/seamfront-testing/src/engine_harness.rs
+++ b/crates/seamfront-testing/src/engine_harness.rs
@@ -46,7 +46,9 @@
             self.now += STEP;
             let commands = std::mem::take(&mut self.commands);
             let effects = self.engine.step(self.now, self.now, commands);
-            effects.into_iter().for_each(|effect| self.handle(effect));
+            for effect in effects {
+                self.handle(effect);
+            }
         }
     }
 
