Test that a pass of urgencies over a very large pipeline is divided among steps

A pipeline with 112,650 dependencies is read after a start. With the bound of 10,000 dependencies a step no step examines more than 13,600 items of any kind, and all dependencies are examined in the end. The stored pipeline and the engine with a store of its own are shared with the test of memory.

--- a/crates/seamfront-core/tests/memory.rs
+++ b/crates/seamfront-core/tests/memory.rs
@@ -1,9 +1,9 @@
 //! Memory that one controller holds for jobs with many dependencies, in bytes as the allocator counts them.
 
 use peak_alloc::PeakAlloc;
-use seamfront_core::types::{JobId, JobSpec, Micros, Priority};
-use seamfront_testing::engine_harness::EngineHarness;
-use seamfront_testing::shard_harness::{job, settings};
+use seamfront_core::types::Micros;
+use seamfront_testing::engine_harness::{store_pipeline, EngineHarness};
+use seamfront_testing::shard_harness::settings;
 use seamfront_testing::store::Store;
 
 #[global_allocator]
@@ -17,42 +17,12 @@
 /// nodes are half full.
 const MAX_BYTES_PER_DEPENDENCY: usize = 2 * 2 * 32;
 
-/// Stores the jobs of a pipeline in which each job needs all jobs of the stage before, and an urgent last job. Returns
-/// the number of dependencies.
-fn store_pipeline(store: &mut Store) -> usize {
-    let mut previous: Vec<JobId> = Vec::new();
-    let mut dependencies = 0;
-    for stage in 0..=STAGES {
-        let width = if stage == STAGES { 1 } else { WIDTH };
-        let mut current = Vec::new();
-        for place in 0..width {
-            let spec = JobSpec {
-                dependencies: previous.clone(),
-                priority: if stage == STAGES {
-                    Priority::Urgent
-                } else {
-                    Priority::BestEffort
-                },
-                ..(*job(&format!("j-{:06}", stage * WIDTH + place), 1)).clone()
-            };
-            dependencies += spec.dependencies.len();
-            store.revision += 1;
-            let value = serde_json::to_value(&spec).expect("a spec can be encoded");
-            let key = format!("job/{}", spec.id);
-            store.keys.insert(key, (value, store.revision, None));
-            current.push(spec.id);
-        }
-        previous = current;
-    }
-    dependencies
-}
-
 /// Guards against copies of the lists that users have submitted (`docs/incidents/urgency-along-every-path.md`): a list is
 /// kept once, as the edges of the graph, and is not copied when the urgency of its job changes.
 #[test]
 fn a_controller_keeps_two_entries_for_each_pending_dependency() {
     let mut store = Store::with_page_size(PAGE);
-    let dependencies = store_pipeline(&mut store);
+    let dependencies = store_pipeline(&mut store, STAGES, WIDTH);
     let before = ALLOCATOR.current_usage();
     let mut harness = EngineHarness::new(settings(), store);
     ALLOCATOR.reset_peak_usage();
--- a/crates/seamfront-core/tests/urgency.rs
+++ b/crates/seamfront-core/tests/urgency.rs
@@ -2,9 +2,12 @@
 //! is timed, so the results do not depend on the speed of the computer.
 
 use seamfront_core::types::*;
+use seamfront_testing::engine_harness::{store_pipeline, EngineHarness};
+use seamfront_testing::shard_harness::settings;
 use seamfront_testing::simulation::recording::scenario;
 use seamfront_testing::simulation::scenarios::init_logging_if_selected;
 use seamfront_testing::simulation::{ms, Fault, Scale, Simulation, CONTROLLERS, SMALL};
+use seamfront_testing::store::Store;
 
 /// Scale of the runs: few machines, pages of the store of the usual size.
 const PIPELINES: Scale = Scale {
@@ -94,6 +97,28 @@
     );
 }
 
+/// Number of dependencies that a pass may examine in one step, besides those of the last job visited.
+const MAX_DEPENDENCIES_PER_STEP: usize = 10_000;
+
+/// Guards against steps that last as long as the largest pipeline makes them: nobody is answered during a step.
+#[test]
+fn a_pass_over_a_very_large_pipeline_is_divided_among_steps() {
+    let mut store = Store::with_page_size(1_000);
+    let (stages, width) = (6, 150);
+    let dependencies = store_pipeline(&mut store, stages, width);
+    let mut harness = EngineHarness::new(settings(), store);
+    harness.run(Micros::from_secs(3));
+    let most = harness.most_items_in_a_step;
+    // Each job counts as visited, and the shard examines its jobs, too.
+    let bound = MAX_DEPENDENCIES_PER_STEP + 4 * stages * width;
+    assert!(most <= bound as i64, "{most} items in a step");
+    let examined = harness.engine.items_examined();
+    assert!(
+        examined >= dependencies as i64,
+        "{examined} of {dependencies}"
+    );
+}
+
 /// Guards against answers that cost as much as all that a job needs, directly and through others, for each question.
 /// One step examined 198,234 items for questions that came together (`docs/incidents/urgency-along-every-path.md`).
 #[test]
