A gang whose record would be too large leaves capacity and quota to others

A gang that fits on the free machines, but on more of them than its record can name, is not placed. Its chosen capacity stayed reserved in each scheduling cycle, and, once it had waited long, its team's quota, so that others waited beside free machines.

Change: the capacity is given back, and the gang reserves nothing else in that cycle.

Evidence: `a_gang_whose_record_would_be_too_large_leaves_its_capacity_to_others` fails without giving it back.

--- a/crates/seamfront-core/src/placement.rs
+++ b/crates/seamfront-core/src/placement.rs
@@ -126,6 +126,12 @@
         self.machines[index].after_preemption.sub(task_resources);
     }
 
+    /// Adds resources that were reserved on the machine at `index` and are not used.
+    pub fn release(&mut self, index: usize, task_resources: Resources) {
+        self.machines[index].free.add(task_resources);
+        self.machines[index].after_preemption.add(task_resources);
+    }
+
     /// Adds the cost of a search that examined this many entries and looked up this many machines.
     fn count_work(&self, entries: usize, machines: usize) {
         self.search_cost.set(
--- a/crates/seamfront-core/src/scheduling/admission.rs
+++ b/crates/seamfront-core/src/scheduling/admission.rs
@@ -41,6 +41,8 @@
     tasks: u32,
     /// Whether at least one was placed.
     placed: bool,
+    /// Whether the job is a gang for which there is capacity, but whose record would be too large.
+    too_large: bool,
 }
 
 impl Shard {
@@ -79,6 +81,9 @@
         let Some(assigned) = self.place_on_free_capacity(context, &pending, missing, cycle) else {
             return;
         };
+        if assigned.too_large {
+            return;
+        }
         missing -= assigned.tasks;
         if missing > 0 && pending.conditions.may_preempt {
             let allowed = self.preemption_quota(team, &pending.spec, missing, cycle);
@@ -241,12 +246,14 @@
         let placed = fits && !plan.is_empty();
         if placed {
             self.place_tasks(context, &pending.id, plan);
-        } else if !plan.is_empty() {
+        } else if !fits {
+            cycle.release(spec, &plan);
             self.log_gang_too_large(context, &pending.id);
         }
         Some(Assigned {
             tasks: missing - rest,
             placed,
+            too_large: !fits,
         })
     }
 
--- a/crates/seamfront-core/src/scheduling/cycle.rs
+++ b/crates/seamfront-core/src/scheduling/cycle.rs
@@ -148,6 +148,15 @@
         assigned
     }
 
+    /// Gives back the capacity of a plan that is not carried out, so that other jobs may use it.
+    pub(super) fn release(&mut self, spec: &JobSpec, plan: &[PlannedPlacement]) {
+        for planned in plan {
+            if let Some(index) = self.capacity.index_of(&planned.machine) {
+                self.capacity.release(index, spec.task_resources);
+            }
+        }
+    }
+
     /// Counts a task that waits for capacity being freed on the machine at `index`.
     pub(super) fn await_preemption(&mut self, spec: &JobSpec, index: usize) {
         self.quota_awaiting_preemption
--- a/crates/seamfront-core/tests/records.rs
+++ b/crates/seamfront-core/tests/records.rs
@@ -6,8 +6,9 @@
 use seamfront_core::record::{
     decode, encode, parse_part_key, part_key, EncodedRecord, Layout, TaskRun, WorkRecord,
 };
+use seamfront_core::shard::Shard;
 use seamfront_core::types::*;
-use seamfront_testing::shard_harness::job;
+use seamfront_testing::shard_harness::{heartbeat, job, s, ShardHarness, CLAIM_TOKEN};
 use seamfront_testing::simulation::recording::scenario;
 use seamfront_testing::simulation::scenarios::{
     add_coverage, coverage_count, fault_pairs_of_all_kinds, init_logging_if_selected, Coverage,
@@ -274,6 +275,33 @@
     (VALUE_BYTES, TRANSACTION_CHANGES),
 ];
 
+/// Guards against capacity that is held for a gang whose record would be too large: such a gang may wait for long.
+#[test]
+fn a_gang_whose_record_would_be_too_large_leaves_its_capacity_to_others() {
+    let mut harness = ShardHarness::new(6, 0);
+    // A record of this size names three machines.
+    harness.settings.value_bytes = 300;
+    let gang = JobSpec {
+        kind: JobKind::Gang,
+        priority: Priority::Urgent,
+        task_resources: Resources::rounded_up(5.0, 0.0, 1.0),
+        ..(*job("j-1", 6)).clone()
+    };
+    let array = JobSpec {
+        task_resources: Resources::rounded_up(4.0, 0.0, 1.0),
+        ..(*job("j-2", 1)).clone()
+    };
+    harness.shard.add_job(Rc::new(gang), 5, s(100));
+    harness.shard.add_job(Rc::new(array), 6, s(100));
+    for machine in 0..6 {
+        let shown = heartbeat(&format!("i-{machine}"), 1, 1, CLAIM_TOKEN, &[]);
+        harness.heartbeat(s(101), &shown);
+    }
+    harness.with(s(102), Shard::run_scheduling_cycle);
+    assert!(!harness.placed("j-1"));
+    assert!(harness.placed("j-2"));
+}
+
 /// The figures that `docs/operating.md` states for gangs of 400, 4,000 and 40,000 tasks.
 #[test]
 fn records_name_as_many_machines_as_the_operating_page_says() {
