--- a/crates/seamfront-core/tests/urgency.rs
+++ b/crates/seamfront-core/tests/urgency.rs
@@ -232,3 +232,77 @@
         );
     }
 }
+
+/// Limit of team `b` in CPUs. Its guarantee is 8.
+const LIMIT_OF_TEAM_B: i64 = 12;
+
+/// A service of team `b`, with tasks of one CPU.
+fn service_of_team_b(simulation: &mut Simulation, number: u32, tasks: u32) -> JobSpec {
+    JobSpec {
+        class: "service".into(),
+        team: "b".into(),
+        kind: JobKind::Service,
+        tasks,
+        ..plain_job(simulation, number, Priority::Critical)
+    }
+}
+
+/// A job may not be left waiting for longer while a machine that fits has room.
+const MAX_WAIT_MS: i64 = 90_000;
+
+/// Guards against jobs that are left waiting beside room that is kept for services: once one service has ended, the machine
+/// that it has left, and machines that are drained for the job, are given back unused, again and again.
+#[test]
+fn a_job_is_placed_beside_room_that_is_kept_for_services() {
+    scenario("urgency.a_job_waits_beside_room_kept_for_services");
+    init_logging_if_selected(6_100);
+    let mut limits = [0; 10];
+    limits[1] = LIMIT_OF_TEAM_B;
+    let mut simulation = Simulation::sized(
+        6_100,
+        Scale {
+            limits,
+            ..PIPELINES
+        },
+    );
+    simulation.faults_end = ms(1_000);
+    // One service uses up the guarantee of team b and stays, one uses up its limit until the restart is over.
+    let staying = service_of_team_b(&mut simulation, 1, 8);
+    let cancelled = service_of_team_b(&mut simulation, 2, 4);
+    let cancelled_id = cancelled.id.clone();
+    let mut competitor = plain_job(&mut simulation, 3, Priority::Normal);
+    (competitor.class, competitor.tasks) = ("competitor".into(), 5_000);
+    let mut dependency = plain_job(&mut simulation, 900, Priority::BestEffort);
+    dependency.team = "b".into();
+    let dependency_id = dependency.id.clone();
+    let mut dependent = plain_job(&mut simulation, 500, Priority::BestEffort);
+    dependent.dependencies = vec![dependency.id.clone()];
+    let mut last = plain_job(&mut simulation, 100, Priority::Urgent);
+    last.dependencies = vec![dependent.id.clone()];
+    for (at, spec) in [(1, staying), (1, cancelled), (20, competitor)] {
+        simulation.submit(ms(1_000 * at), spec);
+    }
+    for spec in [dependency, dependent, last] {
+        simulation.submit(ms(40_000), spec);
+    }
+    simulation.fault(
+        ms(50_000),
+        Fault::Crash {
+            controllers: (0..CONTROLLERS).collect(),
+            restart_after: ms(500),
+        },
+    );
+    simulation.cancel(ms(70_000), cancelled_id);
+    simulation.run_until(ms(70_000));
+    let started = &simulation.ground_truth.first_started_at;
+    assert!(
+        !started.contains_key(&dependency_id),
+        "its team is at its limit"
+    );
+    simulation.run_until(ms(70_000 + MAX_WAIT_MS));
+    let started = &simulation.ground_truth.first_started_at;
+    assert!(
+        started.contains_key(&dependency_id),
+        "left waiting for 90 s"
+    );
+}
