Sizes of records in a module of their own, and what reading the change once more showed

The log line of a gang that is not placed tells the machines that a record can name, as the answer 422 does. - The queue of urgencies has a typed entry in place of a tuple; `place_on_free_capacity` asks one function whether a gang fits. - Tests: one set-up and one bound for the runs with pipelines, one placement request, one large gang.

What the software decides stays as it is.

--- a/crates/seamfront-core/src/job.rs
+++ b/crates/seamfront-core/src/job.rs
@@ -2,12 +2,12 @@
 
 use crate::gang::{Gang, Member};
 use crate::ranges::RangeSet;
-use crate::record::{machine_bytes, run_bytes, Layout, Position, TaskRun, TaskRuns, WorkRecord};
+use crate::record::{Position, TaskRun, TaskRuns, WorkRecord};
 use crate::types::{
     queue_rank, JobKind, JobSpec, MachineId, MachineType, Micros, Priority, START_DEADLINE,
 };
 use serde_json::Value;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// Number of consecutive errors from which on a job is assumed to fail on every machine.
@@ -15,14 +15,6 @@
 /// Maximum number of tasks of such a job that are placed at the same time.
 const MAX_CONCURRENT_ATTEMPTS: u32 = 2;
 
-/// Bytes of a record's fixed fields, without the name of the team.
-const RECORD_FIXED_BYTES: usize = 200;
-/// Bytes that are assumed for the longest name of a machine, unless a longer one is in use.
-const MIN_MACHINE_NAME_BYTES: usize = 12;
-
-/// Epoch that a gang is assumed not to exceed when it is submitted.
-const MAX_EXPECTED_EPOCH: u64 = 99_999;
-
 /// State of a placed task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -339,76 +331,6 @@
         attempt
     }
 
-    /// How many more tasks may be placed before the record could outgrow what the store accepts. Placed tasks are
-    /// counted as they are written, in runs on a machine. Tasks still to be placed are counted as if each had a machine
-    /// of its own: those of arrays and services need not be placed all at once, and are counted as they are written after
-    /// that. Whether a gang may be placed as a whole is told by [`Job::gang_fits_record`].
-    pub fn record_headroom(&self, layout: &Layout) -> u32 {
-        let longest_name = self.tasks.values().map(|p| p.machine.as_str().len()).max();
-        let task_bytes = self.machine_bytes(longest_name.unwrap_or(0).max(MIN_MACHINE_NAME_BYTES));
-        let capacity = self.list_capacity(layout);
-        (capacity.saturating_sub(self.list_bytes()) / task_bytes) as u32
-    }
-
-    /// Whether the record of a gang fits into the store once its members are placed on these machines, each of which may
-    /// occur repeatedly. The members on a machine are written as one run.
-    pub fn gang_fits_record<'a>(
-        &self,
-        layout: &Layout,
-        machines: impl Iterator<Item = &'a MachineId>,
-    ) -> bool {
-        let distinct: BTreeSet<&MachineId> = machines.collect();
-        let names = distinct.into_iter().map(|machine| machine.as_str().len());
-        let placed: usize = names.map(|bytes| self.machine_bytes(bytes)).sum();
-        self.list_bytes() + placed <= self.gang_capacity(layout)
-    }
-
-    /// Whether the record of a gang fits into the store on whichever of this many machines it is placed.
-    pub fn gang_fits_record_anywhere(&self, layout: &Layout, machines: usize) -> bool {
-        let machines = machines.min(self.spec.tasks as usize);
-        let placed = machines * self.machine_bytes(MIN_MACHINE_NAME_BYTES);
-        self.list_bytes() + placed <= self.gang_capacity(layout)
-    }
-
-    /// Bytes for the entries of the record's lists that the store accepts when a gang is placed.
-    pub fn gang_capacity(&self, layout: &Layout) -> usize {
-        let entry_bytes = self.machine_bytes(MIN_MACHINE_NAME_BYTES);
-        gang_list_capacity(&self.spec, layout, entry_bytes)
-    }
-
-    /// Bytes for the entries of the record's lists that the store is certain to accept.
-    fn list_capacity(&self, layout: &Layout) -> usize {
-        whole_list_capacity(&self.spec, layout).max(layout.parts_capacity())
-    }
-
-    /// Maximum number of bytes that the entries of the record's lists take now.
-    fn list_bytes(&self) -> usize {
-        let run_bytes = self.run_bytes();
-        let mut bytes = self.done.range_count() * (run_bytes + 1);
-        if let Some(gang) = &self.gang {
-            bytes += gang.charged_attempts().count() * run_bytes;
-        }
-        let mut run_end: Option<(&MachineId, u32, u64)> = None;
-        for (index, p) in &self.tasks {
-            if run_end != Some((&p.machine, *index, p.attempt)) {
-                bytes += self.machine_bytes(p.machine.as_str().len());
-            }
-            run_end = Some((&p.machine, *index + 1, p.attempt));
-        }
-        bytes
-    }
-
-    /// Maximum number of bytes of a machine's entry with one run of tasks.
-    fn machine_bytes(&self, name_bytes: usize) -> usize {
-        machine_bytes(self.run_bytes(), name_bytes)
-    }
-
-    /// Maximum number of bytes that a run of tasks takes in the record.
-    fn run_bytes(&self) -> usize {
-        let epoch = self.gang.as_ref().map_or(0, |gang| gang.epoch);
-        run_bytes(self.spec.tasks, self.next_attempt.max(epoch) + 1)
-    }
-
     /// Number of tasks that are running and not being stopped.
     pub fn running(&self) -> u32 {
         self.tasks
@@ -498,21 +420,3 @@
         }
     }
 }
-
-/// Bytes that a record in one value has for the entries of its lists.
-fn whole_list_capacity(spec: &JobSpec, layout: &Layout) -> usize {
-    let fixed_bytes = RECORD_FIXED_BYTES + spec.team.len();
-    layout.value_bytes.saturating_sub(fixed_bytes)
-}
-
-/// Bytes that the record of a gang has for entries of at most `entry_bytes` each when the gang is placed.
-fn gang_list_capacity(spec: &JobSpec, layout: &Layout, entry_bytes: usize) -> usize {
-    whole_list_capacity(spec, layout).max(layout.gang_capacity(entry_bytes))
-}
-
-/// Maximum number of machines that a gang may be placed on for the store to accept its record.
-pub fn max_gang_machines(spec: &JobSpec, layout: &Layout) -> usize {
-    let run_bytes = run_bytes(spec.tasks, MAX_EXPECTED_EPOCH);
-    let entry_bytes = machine_bytes(run_bytes, MIN_MACHINE_NAME_BYTES);
-    gang_list_capacity(spec, layout, entry_bytes) / entry_bytes
-}
--- a/crates/seamfront-core/src/jobs/dependency_graph.rs
+++ b/crates/seamfront-core/src/jobs/dependency_graph.rs
@@ -173,11 +173,11 @@
     /// jobs, every dependency is live in the view or known to be done.
     pub(crate) fn uncertain_jobs(&mut self) -> BTreeSet<JobId> {
         let graph = &self.graph;
-        let ended_somehow = graph
+        let not_live = graph
             .unresolved
             .keys()
             .filter(|id| !self.live.contains_key(*id));
-        let mut to_visit: Vec<&JobId> = ended_somehow
+        let mut to_visit: Vec<&JobId> = not_live
             .filter_map(|id| graph.dependents.get(id))
             .flatten()
             .chain(graph.incomplete_lists.keys())
--- a/crates/seamfront-core/src/jobs/urgency.rs
+++ b/crates/seamfront-core/src/jobs/urgency.rs
@@ -16,19 +16,29 @@
 /// Number of dependencies examined in one step of the engine after which the pass continues in the next step.
 const MAX_DEPENDENCIES_PER_STEP: usize = 10_000;
 
+/// A job in the queue. The derived order compares the versions first.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct QueuedJob {
+    version: u64,
+    id: JobId,
+}
+
 /// Jobs that have not passed on their current urgency yet, in the order of their versions.
 #[derive(Debug, Default)]
 pub(super) struct UrgencyQueue {
-    jobs: BTreeSet<(u64, JobId)>,
+    jobs: BTreeSet<QueuedJob>,
 }
 
 impl UrgencyQueue {
     pub(super) fn insert(&mut self, id: &JobId, job: &LiveJob) {
-        self.jobs.insert((job.version, id.clone()));
+        self.jobs.insert(QueuedJob {
+            version: job.version,
+            id: id.clone(),
+        });
     }
 
     fn pop_latest(&mut self) -> Option<JobId> {
-        self.jobs.pop_last().map(|(_, id)| id)
+        self.jobs.pop_last().map(|job| job.id)
     }
 
     fn is_empty(&self) -> bool {
--- a/crates/seamfront-core/src/lib.rs
+++ b/crates/seamfront-core/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod quota;
 pub mod ranges;
 pub mod record;
+pub mod record_size;
 mod scheduling;
 pub mod shard;
 pub mod store_session;
--- a/crates/seamfront-core/src/record.rs
+++ b/crates/seamfront-core/src/record.rs
@@ -136,11 +136,6 @@
 const FILL_DENOMINATOR: usize = 3;
 /// A sixteenth of what the parts hold is not used when a gang is placed, so that its record can grow while it runs.
 const GANG_GROWTH_DIVISOR: usize = 16;
-/// Bytes of the punctuation of a run of tasks in a record.
-const RUN_PUNCTUATION_BYTES: usize = 5;
-/// Bytes of the punctuation of a machine's entry in a record.
-const MACHINE_PUNCTUATION_BYTES: usize = 6;
-
 impl Layout {
     /// Only whole records, without parts.
     pub fn single(value_bytes: usize) -> Layout {
@@ -180,18 +175,6 @@
     }
 }
 
-/// Maximum number of bytes that a run of tasks takes in the record of a job with this many tasks, for attempt numbers up
-/// to `attempt`.
-pub fn run_bytes(tasks: u32, attempt: u64) -> usize {
-    let digits = |n: u64| n.checked_ilog10().unwrap_or(0) as usize + 1;
-    RUN_PUNCTUATION_BYTES + 2 * digits(u64::from(tasks)) + digits(attempt)
-}
-
-/// Maximum number of bytes that a machine with one run of tasks takes in a record.
-pub fn machine_bytes(run_bytes: usize, name_bytes: usize) -> usize {
-    run_bytes + name_bytes + MACHINE_PUNCTUATION_BYTES
-}
-
 /// Sort key of an entry of a record's lists. Entries are divided into parts in this order.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Position {
--- a/crates/seamfront-core/src/scheduling/admission.rs
+++ b/crates/seamfront-core/src/scheduling/admission.rs
@@ -8,6 +8,7 @@
 use crate::job::Job;
 use crate::placement::{FillPolicy, PlacementRequest};
 use crate::port::ResourceRequest;
+use crate::record_size::max_gang_machines;
 use crate::shard::{Context, Shard};
 use crate::types::{JobId, JobKind, JobSpec, Micros, Resources, Team};
 use std::collections::{BTreeMap, BTreeSet};
@@ -241,22 +242,28 @@
                 break;
             }
         }
-        let machines = plan.iter().map(|planned| &planned.machine);
-        let fits = !pending.is_gang || job.gang_fits_record(&context.layout, machines);
-        let placed = fits && !plan.is_empty();
-        if placed {
-            self.place_tasks(context, &pending.id, plan);
-        } else if !fits {
+        let too_large = pending.is_gang && !self.gang_fits_record(context, &pending.id, &plan);
+        let placed = !too_large && !plan.is_empty();
+        if too_large {
             cycle.release(spec, &plan);
             self.log_gang_too_large(context, &pending.id);
+        } else if placed {
+            self.place_tasks(context, &pending.id, plan);
         }
         Some(Assigned {
             tasks: missing - rest,
             placed,
-            too_large: !fits,
+            too_large,
         })
     }
 
+    /// Whether the store accepts the record of a gang that is placed as planned.
+    fn gang_fits_record(&self, context: &Context, id: &JobId, plan: &[PlannedPlacement]) -> bool {
+        let machines = plan.iter().map(|planned| &planned.machine);
+        let job = self.jobs.get(id);
+        job.is_some_and(|job| job.gang_fits_record(&context.layout, machines))
+    }
+
     /// Logs, at intervals, that a gang is not placed since the store would not accept its record.
     fn log_gang_too_large(&mut self, context: &Context, id: &JobId) {
         let Some(job) = self.jobs.get_mut(id) else {
@@ -266,8 +273,8 @@
             return;
         }
         job.too_large_logged_until = context.now + TOO_LARGE_LOG_INTERVAL;
-        let capacity = job.gang_capacity(&context.layout);
-        warn!(gang = %id, tasks = job.spec.tasks, capacity, "gang not placed: its record would be too large for the store");
+        let most_machines = max_gang_machines(&job.spec, &context.layout);
+        warn!(gang = %id, tasks = job.spec.tasks, most_machines, "gang not placed: its record would be too large for the store");
     }
 
     /// Places tasks of a live service on machines that have its image cached, if fetching the image would take longer
--- a/crates/seamfront-core/src/user_api/feasibility.rs
+++ b/crates/seamfront-core/src/user_api/feasibility.rs
@@ -1,10 +1,10 @@
 //! Whether a submitted job can ever run: a job that cannot is refused with the reason, since an accepted one must run.
 
 use super::UserContext;
-use crate::job::max_gang_machines;
 use crate::port::SubmissionError;
 use crate::quota::within_limit;
 use crate::record::Layout;
+use crate::record_size::max_gang_machines;
 use crate::types::{JobKind, JobSpec, MachineType};
 use std::collections::BTreeSet;
 
--- a/crates/seamfront-core/tests/placement.rs
+++ b/crates/seamfront-core/tests/placement.rs
@@ -40,6 +40,19 @@
     }
 }
 
+/// A request to place tasks of this job, without preferences.
+fn request<'a>(spec: &'a JobSpec, avoid: &'a BTreeMap<MachineId, Micros>) -> PlacementRequest<'a> {
+    PlacementRequest {
+        spec,
+        avoid,
+        now: Micros::ZERO,
+        types: &[],
+        accelerator_idle_timeout: None,
+        require_cached_image: false,
+        few_machines: false,
+    }
+}
+
 #[test]
 fn chosen_machines_meet_all_constraints_and_are_never_overfilled() {
     let mut rng = StdRng::seed_from_u64(7);
@@ -62,15 +75,7 @@
             .collect();
         let capacity = FreeCapacity::of(machines.values());
         let avoid = BTreeMap::from([("m-0".into(), Micros::from_secs(9))]);
-        let placement = PlacementRequest {
-            spec: &job,
-            avoid: &avoid,
-            now: Micros::ZERO,
-            types: &[],
-            accelerator_idle_timeout: None,
-            require_cached_image: false,
-            few_machines: false,
-        };
+        let placement = request(&job, &avoid);
         let partial = rng.random_range(0..2) == 0;
         let chosen = placement.choose(
             &machines,
@@ -167,15 +172,8 @@
     let capacity = FreeCapacity::of(machines.values());
     let avoid = BTreeMap::new();
     let distinct = |few_machines: bool| {
-        let placement = PlacementRequest {
-            spec: &job,
-            avoid: &avoid,
-            now: Micros::ZERO,
-            types: &[],
-            accelerator_idle_timeout: None,
-            require_cached_image: false,
-            few_machines,
-        };
+        let mut placement = request(&job, &avoid);
+        placement.few_machines = few_machines;
         let chosen = placement.choose(
             &machines,
             &capacity,
--- a/crates/seamfront-core/tests/records.rs
+++ b/crates/seamfront-core/tests/records.rs
@@ -1,11 +1,12 @@
 //! Work records that are split over several keys: their encoding, and simulated runs with small values, also with
 //! controllers of the version in production side by side.
 
-use seamfront_core::job::{max_gang_machines, Job};
+use seamfront_core::job::Job;
 use seamfront_core::ranges::RangeSet;
 use seamfront_core::record::{
     decode, encode, parse_part_key, part_key, EncodedRecord, Layout, TaskRun, WorkRecord,
 };
+use seamfront_core::record_size::max_gang_machines;
 use seamfront_core::shard::Shard;
 use seamfront_core::types::*;
 use seamfront_testing::shard_harness::{heartbeat, job, s, ShardHarness, CLAIM_TOKEN};
@@ -170,12 +171,13 @@
     }
 }
 
-fn submit_large_gang(simulation: &mut Simulation, n: u32, members: u32) -> JobId {
+/// Submits an urgent gang whose members need this many CPUs each. Machines have four.
+fn submit_large_gang(simulation: &mut Simulation, n: u32, members: u32, cpus: f64) -> JobId {
     let mut spec = simulation.job(n);
     (spec.kind, spec.class, spec.team, spec.tasks) =
         (JobKind::Gang, "large".into(), "a".into(), members);
-    // At most one member fits on a machine.
-    (spec.task_resources, spec.priority) = (Resources::rounded_up(3.0, 0.0, 1.0), Priority::Urgent);
+    (spec.task_resources, spec.priority) =
+        (Resources::rounded_up(cpus, 0.0, 1.0), Priority::Urgent);
     (spec.zone, spec.one_zone, spec.spread, spec.spot) = (None, false, false, true);
     spec.image_mb = 100;
     let id = spec.id.clone();
@@ -193,7 +195,7 @@
         init_logging_if_selected(seed);
         let mut simulation = Simulation::sized(seed, scale_with_small_values(210));
         simulation.faults_end = ms(90_000);
-        let first = submit_large_gang(&mut simulation, 1, 200);
+        let first = submit_large_gang(&mut simulation, 1, 200, 3.0);
         let shard = simulation.shard_claim(&first);
         simulation.fault(
             ms(24_000),
@@ -211,7 +213,7 @@
                 restart_after: ms(300),
             },
         );
-        let second = submit_large_gang(&mut simulation, 2, 180);
+        let second = submit_large_gang(&mut simulation, 2, 180, 3.0);
         simulation.cancel(ms(70_000), second);
         simulation.run_until(ms(400_000));
         assert_eq!(
@@ -252,12 +254,7 @@
         };
         let mut simulation = Simulation::sized(3_200, scale);
         simulation.faults_end = ms(1_000);
-        let mut spec = simulation.job(1);
-        (spec.kind, spec.class, spec.team) = (JobKind::Gang, "large".into(), "a".into());
-        (spec.tasks, spec.priority) = (members, Priority::Urgent);
-        spec.task_resources = Resources::rounded_up(1.0, 0.0, 1.0);
-        (spec.zone, spec.one_zone, spec.spread, spec.spot) = (None, false, false, true);
-        simulation.submit(ms(15_000), spec);
+        submit_large_gang(&mut simulation, 1, members, 1.0);
         simulation.run_until(ms(105_000));
         assert_eq!(
             simulation.unfinished_jobs(),
--- a/crates/seamfront-core/tests/urgency.rs
+++ b/crates/seamfront-core/tests/urgency.rs
@@ -65,36 +65,62 @@
     jobs
 }
 
-/// Guards against work (`docs/incidents/urgency-along-every-path.md`) that grows with the number of paths through a pipeline instead of the number of its jobs and
-/// dependencies. Every controller examined 4.1 million items and kept a copy of a job for each change of its urgency in
-/// the step in which the last job became known, and again after each restart.
+/// A simulated run in which a pipeline is submitted at once.
+struct PipelineRun {
+    simulation: Simulation,
+    jobs: usize,
+    dependencies: usize,
+}
+
+impl PipelineRun {
+    fn new(seed: u64, stages: u32, width: u32) -> PipelineRun {
+        init_logging_if_selected(seed);
+        let mut simulation = Simulation::sized(seed, PIPELINES);
+        simulation.faults_end = ms(1_000);
+        let jobs = pipeline_of_stages(&mut simulation, stages, width);
+        let count = jobs.len();
+        let dependencies = jobs.iter().map(|spec| spec.dependencies.len()).sum();
+        for spec in jobs {
+            simulation.submit(ms(1_000), spec);
+        }
+        PipelineRun {
+            simulation,
+            jobs: count,
+            dependencies,
+        }
+    }
+
+    /// Checks that all jobs were accepted, and that no step has examined each job and each dependency more than a few
+    /// times.
+    fn assert_work_is_bounded(&self) {
+        let (jobs, dependencies) = (self.jobs, self.dependencies);
+        assert_eq!(self.simulation.accepted_jobs(), jobs);
+        let most = self.simulation.most_items_in_a_step;
+        let bound = 4 * (jobs + dependencies) as i64;
+        assert!(
+            most <= bound,
+            "{most} items in a step for {jobs} jobs with {dependencies} dependencies"
+        );
+    }
+}
+
+/// Guards against work that grows with the number of paths through a pipeline instead of the number of its jobs and
+/// dependencies (`docs/incidents/urgency-along-every-path.md`). Every controller examined 4.1 million items and kept a
+/// copy of a job for each change of its urgency in the step in which the last job became known, and again after each
+/// restart.
 #[test]
 fn a_step_examines_each_job_and_each_dependency_of_a_wide_pipeline_a_few_times_at_most() {
     scenario("urgency.a_wide_pipeline_is_submitted_and_all_controllers_restart");
-    init_logging_if_selected(6_000);
-    let mut simulation = Simulation::sized(6_000, PIPELINES);
-    simulation.faults_end = ms(1_000);
-    let jobs = pipeline_of_stages(&mut simulation, 11, 15);
-    let dependencies: usize = jobs.iter().map(|spec| spec.dependencies.len()).sum();
-    let count = jobs.len();
-    for spec in jobs {
-        simulation.submit(ms(1_000), spec);
-    }
-    simulation.fault(
+    let mut run = PipelineRun::new(6_000, 11, 15);
+    run.simulation.fault(
         ms(30_000),
         Fault::Crash {
             controllers: (0..CONTROLLERS).collect(),
             restart_after: ms(500),
         },
     );
-    simulation.run_until(ms(40_000));
-    assert_eq!(simulation.accepted_jobs(), count);
-    let most = simulation.most_items_in_a_step;
-    let bound = 4 * (count + dependencies) as i64;
-    assert!(
-        most <= bound,
-        "{most} items in a step for {count} jobs with {dependencies} dependencies"
-    );
+    run.simulation.run_until(ms(40_000));
+    run.assert_work_is_bounded();
 }
 
 /// Number of dependencies that a pass may examine in one step, besides those of the last job visited.
@@ -124,31 +150,17 @@
 #[test]
 fn questions_about_a_wide_pipeline_do_not_examine_it_anew_each_time() {
     scenario("urgency.many_users_ask_about_the_jobs_of_a_wide_pipeline");
-    init_logging_if_selected(6_300);
-    let mut simulation = Simulation::sized(6_300, PIPELINES);
-    simulation.faults_end = ms(1_000);
-    let jobs = pipeline_of_stages(&mut simulation, 6, 40);
-    let dependencies: usize = jobs.iter().map(|spec| spec.dependencies.len()).sum();
-    let count = jobs.len();
-    for spec in jobs {
-        simulation.submit(ms(1_000), spec);
-    }
-    simulation.run_until(ms(40_000));
-    assert_eq!(simulation.accepted_jobs(), count);
-    simulation.fault(
+    let mut run = PipelineRun::new(6_300, 6, 40);
+    run.simulation.run_until(ms(40_000));
+    run.simulation.fault(
         ms(40_000),
         Fault::PollStorm {
             until: ms(50_000),
             factor: 20,
         },
     );
-    simulation.run_until(ms(50_000));
-    let most = simulation.most_items_in_a_step;
-    let bound = 4 * (count + dependencies) as i64;
-    assert!(
-        most <= bound,
-        "{most} items in a step for {count} jobs with {dependencies} dependencies"
-    );
+    run.simulation.run_until(ms(50_000));
+    run.assert_work_is_bounded();
 }
 
 /// Submits, to team `a`, an array that fills all machines to the end, and a job that is never done. The latter takes up
