One bound for the parts of a record, and a test of what arrays may fill

What gangs may fill followed from the bytes and changes of a transaction, what arrays and services may fill still from the number of parts that fit if each were full, with a bound of its own. Both follow from the same two limits now; two thirds of the bytes are used, as of each part. With values of 16 KiB that is 37,333 bytes in place of 21,764, with 32 KiB 37,333 in place of one whole value, with 2 KiB and 16 changes it is unchanged.

`the_record_of_an_array_with_all_tasks_that_may_be_placed_can_be_written` places as many tasks as the headroom allows, each on a machine of its own, and moves them six times, for four limits.

--- a/crates/seamfront-core/src/record.rs
+++ b/crates/seamfront-core/src/record.rs
@@ -125,8 +125,6 @@
 /// Maximum bytes of all parts together. With the keys and the head they stay below the size limit of a transaction,
 /// 64 KiB.
 const MAX_PARTS_BYTES: usize = 56_000;
-/// Maximum bytes of parts that tasks which need not be placed all at once may fill.
-const MAX_PARTLY_FILLED_BYTES: usize = 44_000;
 /// Bytes of each part that are reserved for its JSON syntax and for the head's fixed fields.
 const PART_OVERHEAD_BYTES: usize = 40;
 /// When tasks are placed, only `FILL_NUMERATOR / FILL_DENOMINATOR` of each part's bytes are assumed to be usable, since
@@ -157,11 +155,9 @@
 
     /// Bytes of list entries that are guaranteed to fit into the parts, however the entries change.
     pub fn parts_capacity(&self) -> usize {
-        let filled = self.value_bytes * FILL_NUMERATOR / FILL_DENOMINATOR;
-        let parts = self
-            .parts
-            .min(MAX_PARTLY_FILLED_BYTES / self.value_bytes.max(1));
-        parts * filled.saturating_sub(PART_OVERHEAD_BYTES)
+        let usable = |bytes: usize| bytes * FILL_NUMERATOR / FILL_DENOMINATOR;
+        let filled = usable(self.value_bytes).saturating_sub(PART_OVERHEAD_BYTES);
+        (self.parts * filled).min(usable(self.parts_bytes))
     }
 
     /// Bytes of list entries of at most `entry_bytes` each that fit into the parts when a record is first written.
--- a/crates/seamfront-core/tests/records.rs
+++ b/crates/seamfront-core/tests/records.rs
@@ -272,6 +272,42 @@
     (VALUE_BYTES, TRANSACTION_CHANGES),
 ];
 
+/// Guards against arrays whose tasks are placed and whose record can then not be written: with as many tasks placed as the
+/// headroom allows, each on a machine of its own, the record is written, also as machines come and go.
+#[test]
+fn the_record_of_an_array_with_all_tasks_that_may_be_placed_can_be_written() {
+    let limits_of_values = [(VALUE_BYTES, SMALL.max_txn_changes)];
+    for (value_bytes, max_txn_changes) in STORE_LIMITS.into_iter().chain(limits_of_values) {
+        let layout = Layout::in_parts(value_bytes, max_txn_changes);
+        for done_step in [1, 2, 7] {
+            let mut array = Job::new(job("j-000001", 100_000), 5, Micros::ZERO);
+            array.next_attempt = 99_998;
+            (0..600).step_by(done_step).for_each(|index| {
+                array.done.insert(index);
+            });
+            let placed = array.record_headroom(&layout);
+            assert!(placed > 100, "a vacuous test with {placed} tasks");
+            let mut boundaries = Vec::new();
+            for round in 0..6 {
+                let mut record = array.to_record();
+                // In each round other machines, so that entries move from part to part.
+                let machine = |k: u32| format!("i-{:010}", (k * (1 + round)) % 100_003);
+                record.placed = (0..placed)
+                    .map(|k| (k, TaskRun::new(90_000 + k, 90_001 + k, 99_998)))
+                    .map(|(k, run)| (machine(k).as_str().into(), vec![run]))
+                    .collect();
+                assert_eq!(record.placed.len(), placed as usize);
+                let encoded = encode(&record, &layout, &boundaries).unwrap_or_else(|| {
+                    panic!("{placed} tasks, values of {value_bytes} bytes, round {round}")
+                });
+                assert!(encoded.parts.len() + 4 <= max_txn_changes);
+                assert!(encoded.bytes <= MAX_TRANSACTION_BYTES);
+                boundaries = encoded.boundaries;
+            }
+        }
+    }
+}
+
 /// Guards against capacity that is held for a gang whose record would be too large: such a gang may wait for long.
 #[test]
 fn a_gang_whose_record_would_be_too_large_leaves_its_capacity_to_others() {
