--- a/crates/seamfront-testing/src/simulation/cloud.rs
+++ b/crates/seamfront-testing/src/simulation/cloud.rs
@@ -2,7 +2,7 @@
 
 use super::{
     machine_types, ms, BadBoots, CallId, CloudReply, CloudRequest, Command, Event, ListedMachine,
-    ListedState, Machine, MachineId, Micros, RngExt, Simulation,
+    ListedState, Machine, MachineId, Micros, RepeatedRequest, RngExt, Simulation,
 };
 
 impl Simulation {
@@ -38,6 +38,8 @@
             );
         }
         let provisioning = matches!(request, CloudRequest::Provision { .. });
+        let changes = provisioning || matches!(request, CloudRequest::Terminate { .. });
+        let copy = (changes && !late).then(|| request.clone());
         let reply = match request {
             CloudRequest::MachineTypes => CloudReply::MachineTypes(machine_types()),
             CloudRequest::Provision {
@@ -135,6 +137,12 @@
         if late {
             return;
         }
+        if let Some(request) = copy.filter(|_| !matches!(reply, CloudReply::NoCapacity)) {
+            self.maybe_repeat(|| RepeatedRequest::Cloud {
+                controller,
+                request,
+            });
+        }
         let command = Command::Cloud { call, reply };
         if provisioning && self.now < self.slow_provisioning_until {
             self.cover("the cloud took seconds to answer a request for machines");
--- a/crates/seamfront-testing/src/simulation/faults.rs
+++ b/crates/seamfront-testing/src/simulation/faults.rs
@@ -116,6 +116,9 @@
     PollEverywhere { until: Micros },
     /// Users resubmit unfinished jobs, cancel completed ones and submit jobs that can never run.
     InvalidRequests { until: Micros },
+    /// A part of the commands, transactions, cloud requests and messages between controllers that were carried out and
+    /// answered arrives once more, seconds to minutes later.
+    RepeatRequests { until: Micros },
 }
 
 impl Simulation {
@@ -347,6 +350,7 @@
             }
             Fault::FastBoots { until } => self.fast_boots_until = until,
             Fault::PollEverywhere { until } => self.poll_everywhere_until = until,
+            Fault::RepeatRequests { until } => self.repeat_requests(until),
             Fault::InvalidRequests { until } => {
                 self.invalid_requests_until = until;
                 self.schedule_at(self.now, Event::InvalidRequest);
@@ -435,7 +439,7 @@
                 for id in self.random_machines(count) {
                     let machine = self.ground_truth.machines.get_mut(&id).unwrap();
                     machine.incarnation += 1;
-                    machine.tasks.clear();
+                    machine.clear_tasks();
                     (machine.lease_renewed_at, machine.in_flight) = (now, None);
                 }
             }
--- a/crates/seamfront-testing/src/simulation/machines.rs
+++ b/crates/seamfront-testing/src/simulation/machines.rs
@@ -43,6 +43,10 @@
     pub sequence: u64,
     pub fencing_token: u64,
     pub tasks: BTreeMap<TaskKey, Task>,
+    /// Attempts that ended or were refused, and that are listed beside a later or a live attempt of the same task.
+    pub other_attempts: BTreeMap<(TaskKey, u64), Exit>,
+    /// Number of start orders that were accepted, for an attempt that the agent did not know.
+    pub starts_accepted: u64,
     /// When the heartbeat was sent whose answer last renewed the lease.
     pub lease_renewed_at: Micros,
     /// Since when heartbeats have been answered without a gap of more than 6 s.
@@ -57,6 +61,18 @@
 }
 
 impl Machine {
+    /// Kills and forgets all tasks, as at the end of a lease.
+    pub fn clear_tasks(&mut self) {
+        self.tasks.clear();
+        self.other_attempts.clear();
+    }
+
+    /// Whether the agent holds this attempt in any state, refused and exited ones included.
+    fn holds(&self, task: &TaskKey, attempt: u64) -> bool {
+        self.tasks.get(task).is_some_and(|t| t.attempt == attempt)
+            || self.other_attempts.contains_key(&(task.clone(), attempt))
+    }
+
     /// Resources that are not taken by tasks, except those that have exited.
     pub fn free(&self, jobs: &BTreeMap<JobId, JobSpec>) -> Resources {
         let mut free = self.size;
@@ -104,6 +120,22 @@
     pub machines_by_job: BTreeMap<JobId, BTreeSet<MachineId>>,
 }
 
+/// All tasks that the agent's heartbeat lists.
+fn listed_tasks(machine: &Machine) -> Vec<TaskStatus> {
+    let current = machine.tasks.iter().map(|(task, t)| TaskStatus {
+        task: task.clone(),
+        attempt: t.attempt,
+        state: t.state,
+    });
+    let others = machine.other_attempts.iter();
+    let others = others.map(|((task, attempt), exit)| TaskStatus {
+        task: task.clone(),
+        attempt: *attempt,
+        state: TaskState::Exited(*exit),
+    });
+    current.chain(others).collect()
+}
+
 fn task_keys_of(job: &JobId) -> std::ops::RangeInclusive<TaskKey> {
     let at = |index| TaskKey {
         job: job.clone(),
@@ -123,15 +155,7 @@
             sequence: machine.sequence,
             fencing_token: machine.fencing_token,
             preemption_notice: machine.preempt_at.map(|_| Micros::from_secs(5)),
-            tasks: machine
-                .tasks
-                .iter()
-                .map(|(k, t)| TaskStatus {
-                    task: k.clone(),
-                    attempt: t.attempt,
-                    state: t.state,
-                })
-                .collect(),
+            tasks: listed_tasks(machine),
         }
     }
 
@@ -146,26 +170,27 @@
             let machine = self.machines.get_mut(id).unwrap();
             match o {
                 Order::Start { task, attempt } => {
-                    if machine
-                        .tasks
-                        .get(task)
-                        .is_some_and(|t| t.attempt == *attempt)
-                    {
+                    if machine.holds(task, *attempt) {
                         continue;
                     }
                     let Some(spec) = self.jobs.get(&task.job) else {
                         continue;
                     };
                     let free = machine.free(&self.jobs);
-                    let live = machine
-                        .tasks
-                        .get(task)
-                        .is_some_and(|t| !matches!(t.state, TaskState::Exited(_)));
-                    let state = if live {
-                        // The agent refuses a second attempt beside a live one. Its heartbeat would list both, which a
-                        // map by task cannot hold, so the order is dropped.
-                        continue;
-                    } else if free.fits(spec.task_resources) < 1 {
+                    machine.starts_accepted += 1;
+                    match machine.tasks.get(task).map(|t| (t.attempt, t.state)) {
+                        Some((former, TaskState::Exited(exit))) => {
+                            machine.other_attempts.insert((task.clone(), former), exit);
+                        }
+                        Some(_) => {
+                            let refused = (task.clone(), *attempt);
+                            let exit = Exit::OtherAttemptPresent;
+                            machine.other_attempts.insert(refused, exit);
+                            continue;
+                        }
+                        None => {}
+                    }
+                    let state = if free.fits(spec.task_resources) < 1 {
                         TaskState::Exited(Exit::NoRoom)
                     } else {
                         TaskState::Fetching
@@ -212,6 +237,7 @@
                     }
                 }
                 Order::Forget { task, attempt } => {
+                    machine.other_attempts.remove(&(task.clone(), *attempt));
                     let ended =
                         |t: &Task| t.attempt == *attempt && matches!(t.state, TaskState::Exited(_));
                     if machine.tasks.get(task).is_some_and(ended) {
@@ -353,7 +379,7 @@
             if now - machine.lease_renewed_at > self.lease {
                 machine.incarnation += 1;
                 self.leases_expired += u64::from(machine.tasks.values().any(Task::on_machine));
-                machine.tasks.clear();
+                machine.clear_tasks();
                 machine.lease_renewed_at = now;
                 machine.in_flight = None;
             }
--- a/crates/seamfront-testing/src/simulation/mod.rs
+++ b/crates/seamfront-testing/src/simulation/mod.rs
@@ -8,6 +8,7 @@
 mod network;
 mod old_version;
 pub mod recording;
+mod repeats;
 mod replay;
 pub mod scenarios;
 mod store_requests;
@@ -19,10 +20,11 @@
 use machines::{GroundTruth, Machine};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use repeats::RepeatedRequest;
 use seamfront_core::port::{
     Answer, CallId, ClientRequestId, CloudReply, CloudRequest, Command, DirectOutcome, Effect,
-    Heartbeat, JobState, ListedMachine, ListedState, Order, StoreReply, StoreRequest, TaskState,
-    Write,
+    Heartbeat, JobState, ListedMachine, ListedState, Order, PeerMessage, StoreReply, StoreRequest,
+    TaskState, Write,
 };
 use seamfront_core::types::{
     JobId, JobKind, JobSpec, MachineId, MachineType, Micros, Priority, Resources, Settings,
@@ -117,6 +119,8 @@
     /// Additional polls about all unfinished jobs.
     PollStormStep,
     Fault(Fault),
+    /// A copy of a request that was carried out and answered arrives.
+    Repeated(Box<RepeatedRequest>),
 }
 
 #[derive(Clone, Debug)]
@@ -230,6 +234,7 @@
     delay_commands_until: Micros,
     lose_commit_answers_until: Micros,
     keep_heartbeats_until: Micros,
+    repeat_requests_until: Micros,
     /// Copies of heartbeats, with the times they were sent, to be delivered when a claim is acquired next.
     kept_heartbeats: Vec<(Micros, Heartbeat)>,
     fast_boots_until: Micros,
@@ -467,6 +472,7 @@
             delay_commands_until: Micros::ZERO,
             lose_commit_answers_until: Micros::ZERO,
             keep_heartbeats_until: Micros::ZERO,
+            repeat_requests_until: Micros::ZERO,
             kept_heartbeats: Vec::new(),
             fast_boots_until: Micros::ZERO,
             bad_boots: BadBoots::default(),
@@ -546,6 +552,8 @@
             sequence: 0,
             fencing_token: 0,
             tasks: BTreeMap::new(),
+            other_attempts: BTreeMap::new(),
+            starts_accepted: 0,
             lease_renewed_at: up_at,
             steady_since: up_at,
             target_controller: self.rng.random_range(0..self.scale.controllers),
@@ -731,6 +739,7 @@
             Event::PollStormStep => self.poll_storm_step(),
             Event::InvalidRequest => self.send_invalid_request(),
             Event::Fault(f) => self.inject(f),
+            Event::Repeated(request) => self.repeat(*request),
         }
     }
 
@@ -865,6 +874,11 @@
                 let d = if held { cut - self.now + d } else { d };
                 if (cut <= self.now || held) && !self.message_lost() {
                     let generation = self.controllers[to].generation;
+                    self.maybe_repeat_to_peer(|| RepeatedRequest::Peer {
+                        from: controller,
+                        to,
+                        message: message.clone(),
+                    });
                     let command = Box::new(Command::Peer {
                         from: controller,
                         message,
--- a/crates/seamfront-testing/src/simulation/network.rs
+++ b/crates/seamfront-testing/src/simulation/network.rs
@@ -2,7 +2,7 @@
 
 use super::{
     ms, CallId, ClientRequestId, Command, DirectOutcome, Event, HeartbeatAnswer, Machine,
-    MachineId, Micros, Order, PendingRequest, Resources, RngExt, Simulation,
+    MachineId, Micros, Order, PendingRequest, RepeatedRequest, Resources, RngExt, Simulation,
 };
 
 impl Simulation {
@@ -383,6 +383,12 @@
         }
         let heartbeat = self.ground_truth.heartbeat(&id);
         if !late {
+            self.maybe_repeat(|| RepeatedRequest::Command {
+                machine: id.clone(),
+                incarnation,
+                fencing_token,
+                orders,
+            });
             let outcome = DirectOutcome::Settled {
                 heartbeat: Box::new(heartbeat),
             };
--- a/crates/seamfront-testing/src/simulation/store_requests.rs
+++ b/crates/seamfront-testing/src/simulation/store_requests.rs
@@ -1,8 +1,8 @@
 //! Requests to the store: losses, outages, rate limits, late transactions and open watches.
 
 use super::{
-    ms, store, CallId, Command, Event, Micros, RngExt, Simulation, StoreReply, StoreRequest, Write,
-    MEASURED_FLEET_MACHINES,
+    ms, store, CallId, Command, Event, Micros, RepeatedRequest, RngExt, Simulation, StoreReply,
+    StoreRequest, Write, MEASURED_FLEET_MACHINES,
 };
 
 impl Simulation {
@@ -159,6 +159,14 @@
             }
         }
         let reply = self.execute_in_store(controller, &request);
+        let granted = matches!(&request, StoreRequest::GrantLease { .. });
+        let committed = matches!(&reply, Some(StoreReply::Committed { .. }));
+        if !late && (granted || (writes && committed)) {
+            self.maybe_repeat(|| RepeatedRequest::Store {
+                controller,
+                request: request.clone(),
+            });
+        }
         if let (StoreRequest::CompareAndSwap { writes, .. }, Some(StoreReply::Committed { .. })) =
             (&request, &reply)
         {
