Let agents forget attempts only under a token that no start command has carried

What callers saw: a task ran on two machines at once, cancelled tasks ran again, and teams went over their limit, each time because an attempt that had ended was started once more on its former machine.

Cause: a start command is executed as long as token and incarnation match, and does nothing only while the agent still holds the attempt. Holders took the answer to a command for the end of it. They told the agent to forget the attempt under the same token, and a copy of the command that arrived afterwards started it again. The class is a right that was taken to have lapsed: nothing had revoked the command.

Fix: a reply may let an agent forget attempts only if it carries a higher token than any direct command to that machine so far. Executing the reply revokes all copies, whoever leads later. The higher token costs no write: it is a revision of the store at which our claim was confirmed and which our view of machines has reached, so it is below the token of any later holder of the shard or of the machine, of any version. It is taken only when something is to be forgotten. The direct command that follows carries the raised token itself, so starts wait for no heartbeat. What proves that an agent hears us is any token of the present ownership. The watch on machines is answered after 2 s instead of 20 s, so that the view keeps up. A machine that lists more than 400 exited tasks gets no further ones, which bounds heartbeats.

Since exited attempts stay listed for longer, a heartbeat is read by task and attempt: by task alone, an exited attempt listed after a live one made that one count as omitted.

The simulation checks at each reply and command that its token is below that of the machine's owner, if that is somebody else.

--- a/crates/seamfront-core/src/engine/machines.rs
+++ b/crates/seamfront-core/src/engine/machines.rs
@@ -141,7 +141,7 @@
         self.with_shard(shard, |s, context| {
             let machine = s.machines.get(&heartbeat.machine)?;
             let stale = machine.misses_replies()
-                && heartbeat.fencing_token != machine.fencing_token(s.version);
+                && !machine.is_current_token(heartbeat.fencing_token, s.version);
             if !context.claim_verified || stale {
                 return None;
             }
--- a/crates/seamfront-core/src/machine/fencing.rs
+++ b/crates/seamfront-core/src/machine/fencing.rs
@@ -26,4 +26,11 @@
     pub token_raise_due: bool,
     /// The direct command that is not settled yet, if any.
     pub direct_command: Option<DirectCommand>,
+    /// The highest token that a direct command of this holder carried; 0 before the first one. A copy of the command
+    /// may arrive at any time, and is carried out until the agent has seen a higher token.
+    pub last_command_token: u64,
+    /// The token that this holder has raised its own to since it took the machine over; 0 before the first time.
+    pub raised_token: u64,
+    /// Number of exited tasks that the agent listed last.
+    pub exited_listed: usize,
 }
--- a/crates/seamfront-core/src/machine/mod.rs
+++ b/crates/seamfront-core/src/machine/mod.rs
@@ -22,6 +22,8 @@
 const LEASE_MARGIN: Micros = Micros::from_millis(200);
 /// A machine is no longer used once its last acknowledged heartbeat is older than two intervals and this margin.
 const HEARTBEAT_MARGIN: Micros = Micros::from_secs(1);
+/// A machine is not used while its agent lists more exited tasks than this: the size of a heartbeat is bounded.
+const MAX_EXITED_LISTED: usize = 400;
 
 /// A machine's record in the store, `machine/<id>`. Its version is part of the machine's fencing token, so rewriting it
 /// raises the token.
@@ -101,12 +103,42 @@
         }
     }
 
-    /// The fencing token of its current owner: the newer of the claim's version and the version of its own record. Both
-    /// are revisions of the store's one counter, so every later owner's token is higher.
-    pub fn fencing_token(&self, claim_version: u64) -> u64 {
+    /// The lowest fencing token of its current owner: the newer of the claim's version and the version of its own
+    /// record. Both are revisions of the store's one counter, so every later owner's lowest token is higher.
+    pub fn ownership_token(&self, claim_version: u64) -> u64 {
         claim_version.max(self.version)
     }
 
+    /// The fencing token that replies and commands carry.
+    pub fn fencing_token(&self, claim_version: u64) -> u64 {
+        self.ownership_token(claim_version)
+            .max(self.fencing.raised_token)
+    }
+
+    /// Whether a token that its agent shows is one of its current owner's.
+    pub fn is_current_token(&self, token: u64, claim_version: u64) -> bool {
+        (self.ownership_token(claim_version)..=self.fencing_token(claim_version)).contains(&token)
+    }
+
+    /// Whether its agent has shown a token of its current owner, and none of a later one.
+    pub fn has_shown_current_token(&self, claim_version: u64) -> bool {
+        self.is_current_token(self.fencing.highest_seen_token, claim_version)
+    }
+
+    /// Whether a reply may tell its agent to forget attempts. An agent that has forgotten an attempt starts it again if
+    /// a copy of the start command arrives, so the reply must carry a higher token than any direct command so far: the
+    /// agent then refuses all copies. Raises the token for this if it can, up to `safe_token`.
+    pub fn allow_forgetting(&mut self, claim_version: u64, safe_token: u64) -> bool {
+        if self.fencing.direct_command.is_some() {
+            return false;
+        }
+        let last_command = self.fencing.last_command_token;
+        if self.fencing_token(claim_version) <= last_command && safe_token > last_command {
+            self.fencing.raised_token = safe_token;
+        }
+        self.fencing_token(claim_version) > last_command
+    }
+
     /// Resources not taken by tasks placed on it.
     pub fn free(&self) -> Resources {
         let mut free = self.size;
@@ -126,7 +158,7 @@
     pub fn usable(&self, now: Micros, heartbeat_interval: Micros, claim_version: u64) -> bool {
         let max_age = heartbeat_interval.times(2) + HEARTBEAT_MARGIN;
         self.record.shard.is_some()
-            && self.fencing.highest_seen_token == self.fencing_token(claim_version)
+            && self.has_shown_current_token(claim_version)
             && self
                 .agent
                 .last_acknowledged
@@ -135,6 +167,7 @@
             && self.lifecycle.in_service()
             && !self.health.quarantined()
             && self.health.full_until <= now
+            && self.fencing.exited_listed <= MAX_EXITED_LISTED
     }
 
     /// Time since its last heartbeat, or since this holder took it over if that was later.
@@ -150,7 +183,7 @@
     /// Records a reply to a heartbeat. It counts as unacknowledged until the agent has shown our current token.
     pub fn reply_sent(&mut self, now: Micros, claim_version: u64) {
         self.agent.last_reply = Some(now);
-        if self.fencing.highest_seen_token < self.fencing_token(claim_version) {
+        if self.fencing.highest_seen_token < self.ownership_token(claim_version) {
             self.agent.count_unacknowledged(now);
         }
     }
@@ -174,7 +207,7 @@
         let renewed = self.agent.last_reply.max(self.agent.incarnation_seen_at);
         let last = match renewed {
             // An agent that has shown our token ignores replies of former holders.
-            Some(t) if self.fencing.highest_seen_token >= self.fencing_token(claim_version) => t,
+            Some(t) if self.fencing.highest_seen_token >= self.ownership_token(claim_version) => t,
             Some(t) => t.max(former),
             None => former,
         };
--- a/crates/seamfront-core/src/shard/direct_commands.rs
+++ b/crates/seamfront-core/src/shard/direct_commands.rs
@@ -91,6 +91,7 @@
     debug!(machine = %m.id, fencing_token, orders = orders.len(), "starting tasks directly");
     let call = *context.next_call;
     *context.next_call += 1;
+    m.fencing.last_command_token = fencing_token;
     m.fencing.direct_command = Some(DirectCommand {
         call,
         fencing_token,
--- a/crates/seamfront-core/src/shard/heartbeats.rs
+++ b/crates/seamfront-core/src/shard/heartbeats.rs
@@ -68,10 +68,11 @@
         placed: &[TaskKey],
         evidence: Evidence,
     ) {
-        let mut listed: BTreeMap<&TaskKey, &TaskStatus> = BTreeMap::new();
-        for status in &heartbeat.tasks {
-            listed.insert(&status.task, status);
-        }
+        let listed: BTreeMap<(&TaskKey, u64), TaskState> = heartbeat
+            .tasks
+            .iter()
+            .map(|status| ((&status.task, status.attempt), status.state))
+            .collect();
         for key in placed.iter().filter(|_| evidence.fresh) {
             let placement = self
                 .jobs
@@ -83,15 +84,14 @@
             let sent_before = p.phase > Phase::Recording
                 && p.incarnation > 0
                 && p.incarnation < heartbeat.incarnation;
-            if sent_before && !listed.contains_key(key) {
+            let state = listed.get(&(key, p.attempt));
+            if sent_before && state.is_none() {
                 // The start order went to an earlier incarnation, which ended with all its tasks.
                 self.remove_task(context, key, Removal::Lost);
                 continue;
             }
-            match listed.get(key) {
-                Some(status) if status.attempt == p.attempt => {
-                    self.apply_task_status(context, &heartbeat.machine, key, status.state);
-                }
+            match state {
+                Some(state) => self.apply_task_status(context, &heartbeat.machine, key, *state),
                 _ if p.phase <= Phase::Recording || !evidence.omission_proves_absence => {}
                 _ => self.handle_omitted_task(context, &heartbeat.machine, key),
             }
@@ -219,7 +219,7 @@
 ) -> Evidence {
     update_incarnation(m, context, heartbeat);
     m.fencing.highest_seen_token = m.fencing.highest_seen_token.max(heartbeat.fencing_token);
-    let fresh = heartbeat.fencing_token == m.fencing_token(claim_version);
+    let fresh = m.is_current_token(heartbeat.fencing_token, claim_version);
     if source == StatusSource::AgentHeartbeat {
         m.agent.address = Some(heartbeat.addr.clone());
         m.agent.last_heartbeat = Some(context.now);
@@ -229,6 +229,11 @@
             m.agent.lease_expired = false;
         }
     }
+    m.fencing.exited_listed = heartbeat
+        .tasks
+        .iter()
+        .filter(|status| matches!(status.state, TaskState::Exited(_)))
+        .count();
     let had_notice = m.lifecycle.preemption_deadline.is_some();
     m.lifecycle.preemption_deadline = heartbeat
         .preemption_notice
--- a/crates/seamfront-core/src/shard/machine_views.rs
+++ b/crates/seamfront-core/src/shard/machine_views.rs
@@ -42,7 +42,7 @@
             version: m.version,
             // A machine that was assigned to this shard counts as reachable only once it has shown our token. Until then
             // it is not idle, and the leader expects it to take pending jobs here.
-            reachable: m.fencing.highest_seen_token == m.fencing_token(self.version)
+            reachable: m.has_shown_current_token(self.version)
                 && m.agent.last_heartbeat.is_some()
                 && m.silent_for(context.now) < silent_limit,
             used: m.used,
--- a/crates/seamfront-core/src/shard/orders.rs
+++ b/crates/seamfront-core/src/shard/orders.rs
@@ -12,17 +12,20 @@
 impl Shard {
     /// The orders for the reply to an agent's heartbeat, in the sequence in which the agent must carry them out.
     pub fn orders(&mut self, context: &mut Context, heartbeat: &Heartbeat) -> Vec<Order> {
-        let Some(m) = self.machines.get(&heartbeat.machine) else {
+        let Some(m) = self.machines.get_mut(&heartbeat.machine) else {
             return Vec::new();
         };
         // A delayed copy may list tasks that ended long ago: it only serves to stop unexpected tasks.
-        let fresh = heartbeat.fencing_token == m.fencing_token(self.version);
+        let fresh = m.is_current_token(heartbeat.fencing_token, self.version);
+        let may_forget = fresh
+            && m.fencing.exited_listed > 0
+            && m.allow_forgetting(self.version, context.safe_token);
         let mut orders: Vec<Order> = heartbeat
             .tasks
             .iter()
             .filter_map(|status| {
                 let job = self.jobs.get(&status.task.job);
-                order_for_listed(m, job, status, fresh)
+                order_for_listed(m, job, status, may_forget)
             })
             .collect();
         let may_start = fresh && m.record.shard.is_some() && !m.lifecycle.decommissioning();
@@ -41,12 +44,10 @@
     m: &Machine,
     job: Option<&Job>,
     status: &TaskStatus,
-    fresh: bool,
+    may_forget: bool,
 ) -> Option<Order> {
     if let TaskState::Exited(exit) = status.state {
-        // A result must be recorded first, and an unsettled command could start a forgotten attempt again.
-        let forget =
-            fresh && result_no_longer_needed(job, exit) && m.fencing.direct_command.is_none();
+        let forget = may_forget && result_no_longer_needed(job, exit);
         return forget.then(|| Order::Forget {
             task: status.task.clone(),
             attempt: status.attempt,
--- a/crates/seamfront-core/src/shard/records.rs
+++ b/crates/seamfront-core/src/shard/records.rs
@@ -123,11 +123,10 @@
                 continue;
             }
             let mut record = m.record.clone();
-            let unsettled = m
-                .fencing
-                .direct_command
-                .as_ref()
-                .is_some_and(|d| d.unknown && d.fencing_token == m.version.max(self.version));
+            let unsettled =
+                m.fencing.direct_command.as_ref().is_some_and(|d| {
+                    d.unknown && d.fencing_token >= m.ownership_token(self.version)
+                });
             let unsettled = unsettled || m.fencing.token_raise_due;
             // Released, but not taken by the leader in time: rewriting the record makes a late assignment by the leader
             // fail.
--- a/crates/seamfront-core/src/store_session/mod.rs
+++ b/crates/seamfront-core/src/store_session/mod.rs
@@ -276,6 +276,14 @@
         self.state(claim)?.held?.last_verified
     }
 
+    /// A revision of the store at which a claim was current and which the view of machines has reached: any other
+    /// holder of the shard, or of a machine that is in the shard by this view, got its rights at a later revision.
+    /// None unless this controller acts under the claim.
+    pub(crate) fn safe_token(&self, claim: ClaimId) -> Option<u64> {
+        let current_at = self.state(claim)?.held?.current_at;
+        Some(current_at.min(self.revision(ViewId::Machines)))
+    }
+
     /// All claims: first those on shards, then the one to leadership.
     fn claim_ids(&self) -> impl Iterator<Item = ClaimId> + 'static {
         let shards = (0..self.shard_claims.len()).map(ClaimId::Shard);
--- a/crates/seamfront-core/src/store_session/verification.rs
+++ b/crates/seamfront-core/src/store_session/verification.rs
@@ -71,6 +71,7 @@
     ) {
         match reply {
             StoreReply::Committed { revision } => {
+                self.current_at(&claims, revision);
                 if self.watch(ViewId::Jobs).reaches(revision) {
                     return self.verified(context, sent, &claims);
                 }
@@ -96,6 +97,16 @@
         }
     }
 
+    /// Records that these claims were current at a revision of the store.
+    fn current_at(&mut self, claims: &[VerifiedClaim], revision: u64) {
+        for VerifiedClaim { claim, token } in claims {
+            let held = self.state_mut(*claim).held.as_mut();
+            if let Some(held) = held.filter(|held| held.token == *token) {
+                held.current_at = held.current_at.max(revision);
+            }
+        }
+    }
+
     pub(super) fn verify_view_reply(
         &mut self,
         context: &mut SessionContext,
--- a/crates/seamfront-core/src/store_session/watches.rs
+++ b/crates/seamfront-core/src/store_session/watches.rs
@@ -12,6 +12,8 @@
 
 /// How long the store may wait for a change before it replies to a watch request.
 const WATCH_MAX_WAIT: Micros = Micros::from_secs(20);
+/// The same for machines: fencing tokens are raised to revisions that this view has reached.
+const MACHINE_WATCH_MAX_WAIT: Micros = Micros::from_secs(2);
 
 /// Identifies a view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,6 +46,13 @@
         }
     }
 
+    fn max_wait(self) -> Micros {
+        match self {
+            ViewId::Machines => MACHINE_WATCH_MAX_WAIT,
+            ViewId::Jobs | ViewId::Shards | ViewId::Leader => WATCH_MAX_WAIT,
+        }
+    }
+
     /// The key without the prefix of the view.
     fn strip_prefix(self, key: &str) -> &str {
         key.strip_prefix(self.prefix()).unwrap_or(key)
@@ -99,7 +108,7 @@
             return;
         }
         watch.request_in_flight = true;
-        let request = watch.view.request(view_id.prefix(), WATCH_MAX_WAIT);
+        let request = watch.view.request(view_id.prefix(), view_id.max_wait());
         context
             .outbox
             .store(request, SessionRequest::Watch(view_id));
--- a/crates/seamfront-core/tests/repeated_requests.rs
+++ b/crates/seamfront-core/tests/repeated_requests.rs
@@ -1,17 +1,184 @@
 //! Requests that were carried out and answered arrive once more, seconds to minutes later. All invariants are checked
 //! after every step of the simulated runs, and all jobs must end.
 
+use seamfront_core::port::{DirectOutcome, Effect, Exit, Order, TaskState};
+use seamfront_core::record::Layout;
+use seamfront_core::shard::WriteOutcome;
 use seamfront_core::types::*;
+use seamfront_testing::shard_harness::{heartbeat, job, s, ShardHarness, CLAIM_TOKEN};
 use seamfront_testing::simulation::recording::scenario;
 use seamfront_testing::simulation::scenarios::{coverage_count, simulate_seeds, Coverage};
 use seamfront_testing::simulation::{ms, Fault, Simulation};
 
+/// A token that the holder may raise the machine's token to.
+const SAFE_TOKEN: u64 = CLAIM_TOKEN + 20;
+
+/// Schedules what waits and sends the direct commands that are due. Returns token and orders of the only command.
+fn send_direct_command(harness: &mut ShardHarness, now: Micros) -> (u64, Vec<Order>) {
+    harness.with(now, seamfront_core::shard::Shard::tick);
+    harness.with(now, seamfront_core::shard::Shard::run_scheduling_cycle);
+    let layout = Layout::single(harness.settings.value_bytes);
+    for write in harness.shard.due_writes(now, 100, &layout) {
+        harness.with(now, |shard, context| {
+            shard.apply_write_outcome(context, &write, WriteOutcome::Done(60));
+        });
+    }
+    harness.effects.clear();
+    harness.with(now, |shard, context| shard.send_direct_commands(context));
+    let mut sent = harness.effects.drain(..).filter_map(|effect| match effect {
+        Effect::SendDirect {
+            fencing_token,
+            orders,
+            ..
+        } => Some((fencing_token, orders)),
+        _ => None,
+    });
+    let command = sent.next().expect("a direct command is sent");
+    assert!(sent.next().is_none());
+    command
+}
+
+/// A shard whose only machine was sent the first task of `j-0` directly, in attempt 1, and has answered.
+fn shard_with_answered_command() -> ShardHarness {
+    let mut harness = ShardHarness::new(1, 0);
+    harness.shard.add_job(job("j-0", 1), 5, s(100));
+    harness.heartbeat(s(101), &heartbeat("i-0", 1, 1, CLAIM_TOKEN, &[]));
+    let (token, orders) = send_direct_command(&mut harness, s(101));
+    assert_eq!((token, orders.len()), (CLAIM_TOKEN, 1));
+    let call = harness.next_call - 1;
+    let reply = heartbeat("i-0", 1, 2, CLAIM_TOKEN, &[("j-0", 1, TaskState::Fetching)]);
+    harness.with(s(101), |shard, context| {
+        let outcome = DirectOutcome::Settled {
+            heartbeat: Box::new(reply),
+        };
+        shard.apply_direct_outcome(context, call, &"i-0".into(), outcome);
+    });
+    harness
+}
+
+fn token_of(harness: &ShardHarness) -> u64 {
+    harness.shard.machines[&MachineId::from("i-0")].fencing_token(CLAIM_TOKEN)
+}
+
+fn forgets(orders: &[Order]) -> bool {
+    orders
+        .iter()
+        .any(|order| matches!(order, Order::Forget { .. }))
+}
+
+/// The agent would accept a copy of the command under an equal token, and start the forgotten attempt again.
+#[test]
+fn no_attempt_is_forgotten_under_the_token_of_an_answered_start_command() {
+    for exit in [
+        Exit::Error,
+        Exit::Stopped { saved: true },
+        Exit::PeerLost,
+        Exit::GangIncomplete,
+        Exit::NoRoom,
+        Exit::OtherAttemptPresent,
+        Exit::Unknown,
+    ] {
+        let mut harness = shard_with_answered_command();
+        let exited = [("j-0", 1, TaskState::Exited(exit))];
+        let orders = harness.heartbeat(s(102), &heartbeat("i-0", 1, 3, CLAIM_TOKEN, &exited));
+        assert!(!forgets(&orders), "{exit:?}: {orders:?}");
+        assert!(!harness.placed("j-0"), "{exit:?} frees the place at once");
+        assert_eq!(token_of(&harness), CLAIM_TOKEN);
+
+        harness.safe_token = SAFE_TOKEN;
+        let orders = harness.heartbeat(s(103), &heartbeat("i-0", 1, 4, CLAIM_TOKEN, &exited));
+        assert!(forgets(&orders), "{exit:?}: {orders:?}");
+        assert_eq!(token_of(&harness), SAFE_TOKEN);
+    }
+}
+
+#[test]
+fn the_next_start_command_carries_the_raised_token_without_waiting_for_a_heartbeat() {
+    let mut harness = shard_with_answered_command();
+    harness.safe_token = SAFE_TOKEN;
+    harness.shard.add_job(job("j-1", 1), 6, s(102));
+    let exited = [("j-0", 1, TaskState::Exited(Exit::Stopped { saved: false }))];
+    harness.heartbeat(s(102), &heartbeat("i-0", 1, 3, CLAIM_TOKEN, &exited));
+    let (token, _) = send_direct_command(&mut harness, s(102));
+    assert_eq!(token, SAFE_TOKEN);
+}
+
+/// A reply that was on its way under the lower token is dropped, so the agent goes on showing that one for a while.
+#[test]
+fn a_machine_that_has_not_shown_the_raised_token_yet_is_not_given_up() {
+    let mut harness = shard_with_answered_command();
+    harness.safe_token = SAFE_TOKEN;
+    let exited = [("j-0", 1, TaskState::Exited(Exit::Unknown))];
+    for sequence in 3..13 {
+        let now = s(100 + 2 * sequence);
+        harness.heartbeat(
+            now,
+            &heartbeat("i-0", 1, sequence as u64, CLAIM_TOKEN, &exited),
+        );
+        harness.with(now, seamfront_core::shard::Shard::tick);
+        let machine = &harness.shard.machines[&MachineId::from("i-0")];
+        assert_eq!(machine.agent.unacknowledged, None);
+        assert!(!machine.lifecycle.condemned);
+        assert!(machine.usable(now, s(2), CLAIM_TOKEN));
+    }
+}
+
+#[test]
+fn tokens_are_raised_only_for_machines_on_which_something_is_to_be_forgotten() {
+    let mut harness = shard_with_answered_command();
+    harness.safe_token = SAFE_TOKEN;
+    let running = [("j-0", 1, TaskState::Running)];
+    harness.heartbeat(s(102), &heartbeat("i-0", 1, 3, CLAIM_TOKEN, &running));
+    assert_eq!(token_of(&harness), CLAIM_TOKEN);
+}
+
+/// The refused second attempt is listed beside the live first one; neither hides the other.
+#[test]
+fn a_refused_attempt_beside_a_live_one_of_the_same_task_is_removed_alone() {
+    let mut harness = shard_with_answered_command();
+    let statuses = [
+        ("j-0", 1, TaskState::Running),
+        ("j-0", 7, TaskState::Exited(Exit::OtherAttemptPresent)),
+    ];
+    for (sequence, statuses) in [(3, statuses), (4, [statuses[1], statuses[0]])] {
+        harness.heartbeat(
+            s(102),
+            &heartbeat("i-0", 1, sequence, CLAIM_TOKEN, &statuses),
+        );
+        assert!(harness.placed("j-0"));
+    }
+}
+
+#[test]
+fn a_machine_that_lists_too_many_exited_tasks_gets_no_further_ones() {
+    let mut harness = ShardHarness::new(1, 0);
+    let usable = |harness: &ShardHarness| {
+        harness.shard.machines[&MachineId::from("i-0")].usable(s(102), s(2), CLAIM_TOKEN)
+    };
+    for (sequence, attempts, expected) in [(1, 400, true), (2, 401, false), (3, 10, true)] {
+        let exited: Vec<_> = (1..=attempts)
+            .map(|attempt| ("j-9", attempt, TaskState::Exited(Exit::Error)))
+            .collect();
+        harness.heartbeat(s(102), &heartbeat("i-0", 1, sequence, CLAIM_TOKEN, &exited));
+        assert_eq!(usable(&harness), expected, "{attempts} exited tasks");
+    }
+}
+
 /// Copies are made during the whole run, and arrive until 150 s later.
 fn repeat_requests(simulation: &mut Simulation, faults_end_ms: i64) {
     let until = ms(faults_end_ms + 60_000);
     simulation.fault(ms(1_000), Fault::RepeatRequests { until });
 }
 
+/// Submits a random job of team `d`, which has no limit, after applying `change` to it.
+fn submit_changed_job(simulation: &mut Simulation, n: u32, at: i64, change: impl Fn(&mut JobSpec)) {
+    let mut spec = simulation.job(n);
+    spec.team = "d".into();
+    (spec.zone, spec.one_zone, spec.spread) = (None, false, false);
+    change(&mut spec);
+    simulation.submit(ms(at), spec);
+}
+
 fn assert_copies_arrived(coverage: &Coverage) {
     for (what, at_least) in [
         ("a repeated command was carried out", 20),
@@ -32,6 +199,13 @@
     );
 }
 
+#[test]
+fn answered_start_commands_that_arrive_again_start_nothing() {
+    scenario("repeated_requests.alone");
+    let coverage = simulate_seeds(7_000..7_010, repeat_requests);
+    assert_copies_arrived(&coverage);
+}
+
 /// The way of the incident: tasks fail and are placed elsewhere.
 #[test]
 fn a_task_that_failed_and_was_placed_elsewhere_is_not_started_again_by_a_copy() {
@@ -52,6 +226,32 @@
     assert_copies_arrived(&coverage);
 }
 
+#[test]
+fn a_preempted_task_is_not_started_again_by_a_copy() {
+    scenario("repeated_requests.preempted_tasks");
+    let coverage = simulate_seeds(7_040..7_050, |simulation, faults_end_ms| {
+        repeat_requests(simulation, faults_end_ms);
+        for n in 100..130 {
+            let at = simulation.draw(2_000..80_000);
+            let urgent = n % 2 == 0;
+            submit_changed_job(simulation, n, at, |spec| {
+                spec.priority = if urgent {
+                    Priority::Urgent
+                } else {
+                    Priority::BestEffort
+                };
+                spec.kind = if urgent {
+                    JobKind::Gang
+                } else {
+                    JobKind::Array
+                };
+                spec.tasks = if urgent { 3 } else { 10 };
+            });
+        }
+    });
+    assert_copies_arrived(&coverage);
+}
+
 #[test]
 fn cancelled_tasks_are_not_started_again_by_copies() {
     scenario("repeated_requests.cancelled_tasks");
@@ -67,3 +267,46 @@
     });
     assert_copies_arrived(&coverage);
 }
+
+#[test]
+fn copies_start_nothing_after_a_controller_was_back_within_a_second() {
+    scenario("repeated_requests.back_within_a_second");
+    let coverage = simulate_seeds(7_080..7_090, |simulation, faults_end_ms| {
+        repeat_requests(simulation, faults_end_ms);
+        for k in 0..8 {
+            let claim = ["share/0", "share/1", "share/2", "leader"][simulation.draw(0..4) as usize];
+            let restart_after = ms(simulation.draw(50..900));
+            for delay in [0, 1_500] {
+                simulation.fault(
+                    ms(8_000 + 10_000 * k + delay),
+                    Fault::CrashHolder {
+                        claim,
+                        restart_after,
+                    },
+                );
+            }
+        }
+    });
+    assert_copies_arrived(&coverage);
+}
+
+#[test]
+fn copies_start_nothing_on_machines_that_hung_restarted_or_lost_answers() {
+    scenario("repeated_requests.machines");
+    let coverage = simulate_seeds(7_100..7_110, |simulation, faults_end_ms| {
+        repeat_requests(simulation, faults_end_ms);
+        for k in 0..8 {
+            let duration = ms(simulation.draw(2_000..14_000));
+            let fault = match k % 4 {
+                0 => Fault::HangMachines { count: 3, duration },
+                1 => Fault::RestartMachines { count: 3 },
+                2 => Fault::LoseAnswers { count: 3, duration },
+                _ => Fault::DelayAnswers {
+                    until: ms(8_000 + 10_000 * k + 9_000),
+                },
+            };
+            simulation.fault(ms(8_000 + 10_000 * k), fault);
+        }
+    });
+    assert_copies_arrived(&coverage);
+}
--- a/crates/seamfront-testing/src/simulation/invariants.rs
+++ b/crates/seamfront-testing/src/simulation/invariants.rs
@@ -273,6 +273,32 @@
         }
     }
 
+    /// Invariant: whoever owns a machine has a higher fencing token than all that any other controller has ever sent it.
+    /// Checked at each reply and command against the owner by the store at that moment.
+    pub(super) fn check_fencing_token(&mut self, controller: usize, id: &MachineId, token: u64) {
+        let Some((record, machine_version, _)) = self.store.keys.get(&format!("machine/{id}"))
+        else {
+            return;
+        };
+        let Some(shard) = record.get("share").and_then(serde_json::Value::as_u64) else {
+            return;
+        };
+        let claim = format!("share/{shard}");
+        let Some(claim_version) = self.claim_version(&claim) else {
+            return;
+        };
+        if self.holder(&claim) == Some(controller) {
+            return;
+        }
+        let owner_token = claim_version.max(*machine_version);
+        if token >= owner_token {
+            let t = self.now.as_secs_decimal();
+            self.ground_truth.violations.push(format!(
+                "{t:.3} n{controller} sent {id} token {token}, and its owner by {claim} has {owner_token}"
+            ));
+        }
+    }
+
     /// Counts starts after a confirmed cancellation. Invariant: once the faults are over, a start that was in flight
     /// as the job was cancelled is stopped by the answer to the next heartbeat, so no task starts later than that.
     pub(super) fn check_late_starts(&mut self) {
--- a/crates/seamfront-testing/src/simulation/mod.rs
+++ b/crates/seamfront-testing/src/simulation/mod.rs
@@ -844,6 +844,7 @@
                 ..
             } => {
                 self.check_orders(controller, &orders);
+                self.check_fencing_token(controller, &machine, fencing_token);
                 let d = d + self.answer_delay();
                 self.schedule_after(
                     d,
--- a/crates/seamfront-testing/src/simulation/network.rs
+++ b/crates/seamfront-testing/src/simulation/network.rs
@@ -25,6 +25,9 @@
         else {
             return;
         };
+        if let HeartbeatAnswer::Orders(fencing_token, _) = &answer {
+            self.check_fencing_token(controller, &machine, *fencing_token);
+        }
         let (until, deliver_late) = self.controllers[controller].agents_cut;
         let mut d = self.network_delay();
         if until > self.now {
