Create a work record only while its job is live

Cause: a record is created on the condition that it does not exist. A copy of that transaction meets the condition again once the record was removed with its job: an action on stale knowledge.

Fix: the creation also has the version of job/<id> as a condition, which is removed at the job's end and never created again. It costs one condition, and no change.

Machine records that copies bring back are removed by themselves, which a second test shows. The fault that repeats answered requests is one of the pairs of all kinds now, and repeats renewals too.

--- a/crates/seamfront-core/src/engine/transactions.rs
+++ b/crates/seamfront-core/src/engine/transactions.rs
@@ -1,6 +1,6 @@
 //! Transactions on behalf of a shard: how writes are batched, and the operations of each write.
 
-use crate::jobs::{end_conditions, end_writes, EndRecord};
+use crate::jobs::{end_conditions, end_writes, job_key, EndRecord};
 use crate::machine::machine_key;
 use crate::port::{StoreReply, StoreRequest, Write};
 use crate::record::part_key;
@@ -66,6 +66,11 @@
         (_, StoreReply::Refused) => WriteOutcome::Refused,
         // One failed condition fails the whole transaction; writes whose own conditions held are repeated.
         (ShardWrite::End { .. }, StoreReply::Conflict { .. }) => WriteOutcome::Unknown,
+        (ShardWrite::Record { job, .. }, StoreReply::Conflict { failed })
+            if failed.contains(&job_key(job)) =>
+        {
+            WriteOutcome::Unknown
+        }
         (_, StoreReply::Conflict { failed }) if !failed.iter().any(|k| k == key) => {
             WriteOutcome::Refused
         }
@@ -109,12 +114,17 @@
         match write {
             ShardWrite::Record {
                 job,
+                job_version,
                 version,
                 record,
                 changes,
                 ..
             } => {
                 self.conditions.push((key.clone(), *version));
+                // A copy that arrives after the record was removed with its job must not create it anew.
+                if *version == 0 {
+                    self.conditions.push((job_key(job), *job_version));
+                }
                 self.put(key, record.head.clone());
                 for (number, part) in changes {
                     self.change_part(part_key(self.shard, job, *number), part.as_ref());
--- a/crates/seamfront-core/src/shard/records.rs
+++ b/crates/seamfront-core/src/shard/records.rs
@@ -15,6 +15,8 @@
     Record {
         /// The job.
         job: JobId,
+        /// Version of the job's own record.
+        job_version: u64,
         /// The record generation that it stores.
         generation: u64,
         /// The stored version that it replaces.
@@ -355,9 +357,10 @@
         .copied()
         .unwrap_or(job.record.parts_end.max(record.parts.len() as u32));
     changes.extend(removed.into_iter().map(|number| (number, None)));
-    let (job, generation) = (job.spec.id.clone(), job.record.generation);
+    let (generation, job_version) = (job.record.generation, job.version);
     Some(ShardWrite::Record {
-        job,
+        job: job.spec.id.clone(),
+        job_version,
         generation,
         version,
         record: Box::new(record),
--- a/crates/seamfront-core/tests/repeated_requests.rs
+++ b/crates/seamfront-core/tests/repeated_requests.rs
@@ -7,7 +7,9 @@
 use seamfront_core::types::*;
 use seamfront_testing::shard_harness::{heartbeat, job, s, ShardHarness, CLAIM_TOKEN};
 use seamfront_testing::simulation::recording::scenario;
-use seamfront_testing::simulation::scenarios::{coverage_count, simulate_seeds, Coverage};
+use seamfront_testing::simulation::scenarios::{
+    coverage_count, simulate, simulate_seeds, Coverage,
+};
 use seamfront_testing::simulation::{ms, Fault, Simulation};
 
 /// A token that the holder may raise the machine's token to.
@@ -171,7 +173,7 @@
 }
 
 /// Submits a random job of team `d`, which has no limit, after applying `change` to it.
-fn submit_changed_job(simulation: &mut Simulation, n: u32, at: i64, change: impl Fn(&mut JobSpec)) {
+fn submit_unbound_job(simulation: &mut Simulation, n: u32, at: i64, change: impl Fn(&mut JobSpec)) {
     let mut spec = simulation.job(n);
     spec.team = "d".into();
     (spec.zone, spec.one_zone, spec.spread) = (None, false, false);
@@ -234,7 +236,7 @@
         for n in 100..130 {
             let at = simulation.draw(2_000..80_000);
             let urgent = n % 2 == 0;
-            submit_changed_job(simulation, n, at, |spec| {
+            submit_unbound_job(simulation, n, at, |spec| {
                 spec.priority = if urgent {
                     Priority::Urgent
                 } else {
@@ -310,3 +312,53 @@
     });
     assert_copies_arrived(&coverage);
 }
+
+/// Simulates a run with copies, and goes on until what they bring back must be removed again.
+fn simulate_past_last_copies(seed: u64) -> Simulation {
+    let mut simulation = simulate(seed, |simulation, faults_end_ms| {
+        repeat_requests(simulation, faults_end_ms);
+        for k in 0..4 {
+            simulation.fault(ms(10_000 + 15_000 * k), Fault::KillMachines { count: 2 });
+        }
+    });
+    simulation.run_until(ms(480_000));
+    simulation
+}
+
+/// The copy recreates the record of a machine that is gone. Such a machine never comes up, and is condemned for that.
+#[test]
+fn machine_records_that_copies_bring_back_are_removed() {
+    scenario("repeated_requests.machine_records_that_are_back");
+    let mut brought_back = 0;
+    for seed in 7_120..7_126 {
+        let simulation = simulate_past_last_copies(seed);
+        brought_back += coverage_count(
+            &simulation.coverage,
+            "a repeated transaction wrote a machine record",
+        );
+        for key in simulation.stored_keys("machine/") {
+            let id = MachineId::from(key.trim_start_matches("machine/"));
+            let machine = &simulation.ground_truth.machines[&id];
+            assert!(
+                !machine.dead,
+                "seed {seed}: {key} of a machine that is gone"
+            );
+        }
+    }
+    assert!(brought_back > 0);
+}
+
+#[test]
+fn copies_bring_back_no_work_records_of_jobs_that_have_ended() {
+    scenario("repeated_requests.work_records");
+    for seed in 7_140..7_146 {
+        let simulation = simulate_past_last_copies(seed);
+        let failed = coverage_count(&simulation.coverage, "a repeated transaction failed");
+        assert!(failed > 20, "seed {seed}: only {failed} copies failed");
+        for key in simulation.stored_keys("work/") {
+            let job = key.rsplit('/').next().unwrap_or_default();
+            let live = !simulation.stored_keys(&format!("job/{job}")).is_empty();
+            assert!(live, "seed {seed}: {key} of a job that has ended");
+        }
+    }
+}
--- a/crates/seamfront-testing/src/simulation/scenarios.rs
+++ b/crates/seamfront-testing/src/simulation/scenarios.rs
@@ -200,7 +200,7 @@
 
 /// Like [`fault_pairs`], with all kinds of faults.
 pub fn fault_pairs_of_all_kinds(simulation: &mut Simulation, faults_end_ms: i64) {
-    draw_fault_pairs(simulation, faults_end_ms, 23);
+    draw_fault_pairs(simulation, faults_end_ms, 24);
 }
 
 fn draw_fault_pairs(simulation: &mut Simulation, faults_end_ms: i64, kinds: i64) {
@@ -263,6 +263,9 @@
                 20 => Fault::ReplayHeartbeats { until },
                 21 => Fault::FastBoots { until },
                 22 => Fault::PollEverywhere { until },
+                23 => Fault::RepeatRequests {
+                    until: ms(at + 40_000),
+                },
                 _ => Fault::Crash {
                     controllers: (0..CONTROLLERS).collect(),
                     restart_after: ms(simulation.draw(200..16_000)),
--- a/crates/seamfront-testing/src/simulation/store_requests.rs
+++ b/crates/seamfront-testing/src/simulation/store_requests.rs
@@ -159,7 +159,10 @@
             }
         }
         let reply = self.execute_in_store(controller, &request);
-        let granted = matches!(&request, StoreRequest::GrantLease { .. });
+        let granted = matches!(
+            &request,
+            StoreRequest::GrantLease { .. } | StoreRequest::RenewLease { .. }
+        );
         let committed = matches!(&reply, Some(StoreReply::Committed { .. }));
         if !late && (granted || (writes && committed)) {
             self.maybe_repeat(|| RepeatedRequest::Store {
