Log frequent events as counts, and who last ordered what where a task is misplaced

Need: in the incident each controller's kept log began 40 s after the break. A line for each evicted task, each misplaced task and each finished dependency had pushed the rest out, and no line named the token under which a machine was commanded or what it was told to forget.

Change: a shard counts frequent events and logs them as `shard activity`, at most every 10 s, with its claim's token and the revision up to which tokens may rise. Finished dependencies are counted likewise. Machines that are adopted or assigned in one step share a line. The single events are at debug. The warning about tasks that were not placed on a machine comes once for a heartbeat, not while a new holder still reads the records, and names controller, tokens, incarnation and the last orders there. A takeover logs the revisions of the views that it rests on. Direct starts say at debug what allowed them.

Renamed as touched: StopReason::Moving and Peers (cause= in the log), duties_in_force.

--- a/crates/seamfront-core/src/engine/session.rs
+++ b/crates/seamfront-core/src/engine/session.rs
@@ -12,7 +12,7 @@
 };
 use crate::types::{JobId, Micros};
 use std::collections::BTreeMap;
-use tracing::{debug, warn};
+use tracing::{info, warn};
 
 /// Parts of work records by job and number.
 type PartsByJob = BTreeMap<JobId, BTreeMap<u32, serde_json::Value>>;
@@ -39,7 +39,7 @@
 
     pub(super) fn store_session_tick(&mut self) {
         let inputs = TickInputs {
-            duties_in_force: self.duties.claims_active(),
+            duties_have_own_claims: self.duties.claims_active(),
             inbound_partitioned: self.inbound_partition.detected(),
             any_peer_ready: self.peers.any_ready(self.now),
             home_ready: self.peers.ready_for_transfer(self.now),
@@ -156,7 +156,13 @@
         }
         self.add_released_machines(index);
         self.with_shard(index, |shard, context| shard.finish_loading(context));
-        debug!(shard = index, "records read");
+        info!(
+            shard = index,
+            fencing_token = self.store.held_token(ClaimId::Shard(index)),
+            jobs_revision = self.store.revision(ViewId::Jobs),
+            machines_revision = self.store.revision(ViewId::Machines),
+            "records of the former holder read"
+        );
     }
 
     /// Adds machines without a shard on which the shard's records place tasks. A machine that is being terminated
--- a/crates/seamfront-core/src/fleet_duties.rs
+++ b/crates/seamfront-core/src/fleet_duties.rs
@@ -141,7 +141,7 @@
     pub(crate) fn claims_active(&self) -> bool {
         self.manager
             .as_ref()
-            .is_some_and(DutyManager::duties_in_force)
+            .is_some_and(DutyManager::duties_have_own_claims)
     }
 
     /// Applies commands and returns the resulting effects in order.
--- a/crates/seamfront-core/src/job.rs
+++ b/crates/seamfront-core/src/job.rs
@@ -40,9 +40,9 @@
     /// Preempted by work that takes precedence.
     Preempted,
     /// Its machine is about to be preempted by the cloud.
-    Moving,
+    MachinePreempted,
     /// Its gang is being drained.
-    Peers,
+    GangDrained,
     /// It is on a machine where it was not placed.
     Unexpected,
 }
--- a/crates/seamfront-core/src/jobs/dependency_graph.rs
+++ b/crates/seamfront-core/src/jobs/dependency_graph.rs
@@ -6,6 +6,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use tracing::{debug, info};
 
+/// Interval between two lines on the jobs whose dependencies are done.
+const LOG_INTERVAL: Micros = Micros::from_secs(10);
+
 /// State of a request to the store that is repeated until it succeeds.
 #[derive(Debug, Default)]
 pub(super) struct RetryState {
@@ -37,7 +40,27 @@
     pub(super) incomplete_lists: BTreeMap<JobId, RetryState>,
 }
 
+/// Jobs whose dependencies became known to be done since the last line about them. After a restart these are all live
+/// jobs with dependencies.
+#[derive(Debug, Default)]
+pub(super) struct UnblockedJobs {
+    count: usize,
+    next_log: Micros,
+}
+
 impl JobRegistry {
+    /// Logs the number of unblocked jobs if that is due.
+    pub(super) fn log_unblocked(&mut self, now: Micros) {
+        if self.unblocked.count == 0 || now < self.unblocked.next_log {
+            return;
+        }
+        info!(jobs = self.unblocked.count, "dependencies of jobs are done");
+        self.unblocked = UnblockedJobs {
+            count: 0,
+            next_log: now + LOG_INTERVAL,
+        };
+    }
+
     /// Adds a job that has just become live to the graph. Returns whether it has dependencies.
     pub(super) fn register_dependencies(
         &mut self,
@@ -164,7 +187,8 @@
         };
         if job.dependencies.unblocked_at.is_none() {
             job.dependencies.unblocked_at = Some(context.wall_time);
-            info!(job = %id, "all dependencies are done");
+            debug!(job = %id, "all dependencies are done");
+            self.unblocked.count += 1;
         }
         self.push_update(id);
     }
--- a/crates/seamfront-core/src/jobs/mod.rs
+++ b/crates/seamfront-core/src/jobs/mod.rs
@@ -26,7 +26,7 @@
 use crate::outbox::Outbox;
 use crate::port::{Entry, JobProgress, Progress, StoreReply};
 use crate::types::{JobId, JobSpec, Micros, Settings};
-use dependency_graph::DependencyGraph;
+use dependency_graph::{DependencyGraph, UnblockedJobs};
 use ended::EndedJobs;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -97,6 +97,7 @@
     /// Progress of live jobs, as reported by the holders of their shards.
     reported_progress: BTreeMap<JobId, Progress>,
     graph: DependencyGraph,
+    unblocked: UnblockedJobs,
     urgency_queue: UrgencyQueue,
     events: Vec<JobEvent>,
     /// Number of items examined; see [`crate::Engine::items_examined`].
@@ -227,6 +228,7 @@
         self.read_unresolved_ends(context, outbox);
         self.read_dependency_parts(context, outbox);
         self.cancel_dependents(context, outbox);
+        self.log_unblocked(context.now);
     }
 
     /// Handles a reply of the store.
--- a/crates/seamfront-core/src/leader/adoption.rs
+++ b/crates/seamfront-core/src/leader/adoption.rs
@@ -155,15 +155,17 @@
         let mut ids = Vec::new();
         let mut conditions = Vec::new();
         let mut writes = Vec::new();
+        let mut adopted = Vec::new();
         while ids.len() < max_records {
             let Some((AdoptionKey { id, .. }, record)) = self.adoptions.pop_first() else {
                 break;
             };
-            info!(machine = %id, shard = ?record.shard, "adopting machine that the cloud lists without a record");
+            adopted.push((id.to_string(), record.shard));
             conditions.push((machine_key(&id), 0));
             writes.push(machine_write(&id, &record));
             ids.push(id);
         }
+        info!(machines = ?adopted, "adopting machines that the cloud lists without records");
         self.writes_in_flight.extend(ids.iter().cloned());
         let duty = FleetDuty::ScaleOut;
         let request = LeaderRequest::AssignMachines { duty, ids };
--- a/crates/seamfront-core/src/leader/assignment.rs
+++ b/crates/seamfront-core/src/leader/assignment.rs
@@ -47,6 +47,7 @@
         let mut conditions = Vec::new();
         let mut writes = Vec::new();
         let mut ids = Vec::new();
+        let mut assigned = Vec::new();
         for Assignment { machine, shard } in assignments {
             let Some(known) = context.machines.get(&machine) else {
                 continue;
@@ -55,7 +56,7 @@
                 shard,
                 ..known.record.clone()
             };
-            info!(machine = %machine, to = ?shard, "machine assigned");
+            assigned.push((machine.to_string(), shard));
             conditions.push((machine_key(&machine), known.version));
             writes.push(machine_write(&machine, &record));
             if shard.is_none() {
@@ -66,6 +67,7 @@
         if ids.is_empty() {
             return;
         }
+        info!(machines = ?assigned, "machines assigned to shards");
         self.writes_in_flight.extend(ids.iter().cloned());
         let request = LeaderRequest::AssignMachines { duty, ids };
         self.commit(context, outbox, conditions, writes, request);
--- a/crates/seamfront-core/src/leader/provisioning.rs
+++ b/crates/seamfront-core/src/leader/provisioning.rs
@@ -182,7 +182,7 @@
             "r-{}-{}",
             fence.fencing_token, self.provisioning.last_request_number
         );
-        info!(name, kind = %record.machine_type, zone = %record.zone, spot = record.spot, count = record.count, shard = record.shard, "provisioning machines");
+        debug!(name, kind = %record.machine_type, zone = %record.zone, spot = record.spot, count = record.count, shard = record.shard, "provisioning machines");
         let key = record_key(&name);
         let write = Write::Put {
             key: key.clone(),
@@ -261,7 +261,8 @@
         let Some(provisioning) = self.provisioning.in_flight.get_mut(name) else {
             return;
         };
-        info!(name, machines = ?ids.iter().map(|id| id.as_str()).collect::<Vec<_>>(), "machines provisioned");
+        let record = &provisioning.record;
+        info!(name, kind = %record.machine_type, zone = %record.zone, spot = record.spot, count = record.count, shard = record.shard, machines = ?ids.iter().map(|id| id.as_str()).collect::<Vec<_>>(), "machines provisioned");
         for id in &ids {
             self.boot_times
                 .provisioned(id.clone(), &provisioning.record.machine_type, now);
--- a/crates/seamfront-core/src/machine/mod.rs
+++ b/crates/seamfront-core/src/machine/mod.rs
@@ -5,6 +5,7 @@
 mod health;
 mod image_cache;
 mod lifecycle;
+mod order_history;
 mod usage;
 
 pub use agent::{Agent, UnacknowledgedReplies};
@@ -12,6 +13,7 @@
 pub use health::{Health, PaceSample, PACE_SAMPLE_TASKS};
 pub use image_cache::{CachedImage, ImageCache};
 pub use lifecycle::Lifecycle;
+pub use order_history::{OrderHistory, PastOrder};
 pub use usage::Usage;
 
 use crate::types::{MachineId, Micros, Resources, TaskKey};
@@ -67,6 +69,8 @@
     pub agent: Agent,
     /// Fencing of its agent.
     pub fencing: Fencing,
+    /// The last orders to its agent.
+    pub order_history: OrderHistory,
     /// Its stage between takeover and release or decommissioning.
     pub lifecycle: Lifecycle,
     /// How long it or its accelerators have been unused.
@@ -96,6 +100,7 @@
             unexpected_tasks: BTreeSet::new(),
             agent: Agent::default(),
             fencing: Fencing::default(),
+            order_history: OrderHistory::default(),
             lifecycle: Lifecycle::new(now),
             usage: Usage::default(),
             image_cache: ImageCache::default(),
--- a/crates/seamfront-core/src/scheduling/assignment.rs
+++ b/crates/seamfront-core/src/scheduling/assignment.rs
@@ -3,7 +3,7 @@
 use crate::job::{Phase, Placement};
 use crate::shard::{Context, Shard};
 use crate::types::{JobId, MachineId, Micros, TaskKey};
-use tracing::{debug, info};
+use tracing::debug;
 
 /// A machine chosen for one task.
 pub(super) struct PlannedPlacement {
@@ -74,7 +74,7 @@
             }
         }
         if is_gang {
-            info!(gang = %id, epoch = attempt, size = plan.len(), "gang reserved");
+            debug!(gang = %id, epoch = attempt, size = plan.len(), "gang reserved");
         }
     }
 }
--- a/crates/seamfront-core/src/shard/direct_commands.rs
+++ b/crates/seamfront-core/src/shard/direct_commands.rs
@@ -22,10 +22,11 @@
         }
         self.count_work(self.direct_start_candidates.len());
         let (machines, jobs, version) = (&mut self.machines, &mut self.jobs, self.version);
+        let started = &mut self.activity.counts.started_directly;
         self.direct_start_candidates.retain(|id| {
             machines
                 .get_mut(id)
-                .is_some_and(|m| send_direct_command(context, m, jobs, version))
+                .is_some_and(|m| send_direct_command(context, m, jobs, version, started))
         });
     }
 
@@ -60,12 +61,14 @@
     }
 }
 
-/// Sends the start orders that are due on a machine. Returns whether tasks there may still need a direct start.
+/// Sends the start orders that are due on a machine, and adds their number to `started`. Returns whether tasks there may
+/// still need a direct start.
 fn send_direct_command(
     context: &mut Context,
     m: &mut Machine,
     jobs: &mut BTreeMap<JobId, Job>,
     claim_version: u64,
+    started: &mut usize,
 ) -> bool {
     if m.tasks.is_empty() {
         return false;
@@ -88,9 +91,19 @@
     }
     let fencing_token = m.fencing_token(claim_version);
     let incarnation = m.agent.incarnation;
-    debug!(machine = %m.id, fencing_token, orders = orders.len(), "starting tasks directly");
+    debug!(
+        machine = %m.id,
+        fencing_token,
+        token_shown = m.fencing.highest_seen_token,
+        incarnation,
+        acknowledged_ago_ms = m.agent.last_acknowledged.map(|t| (context.now - t).0 / 1_000),
+        orders = orders.len(),
+        "starting tasks directly"
+    );
     let call = *context.next_call;
     *context.next_call += 1;
+    *started += orders.len();
+    m.order_history.record(&orders, fencing_token, context.now);
     m.fencing.last_command_token = fencing_token;
     m.fencing.direct_command = Some(DirectCommand {
         call,
--- a/crates/seamfront-core/src/shard/drain.rs
+++ b/crates/seamfront-core/src/shard/drain.rs
@@ -1,8 +1,8 @@
 //! Coordinated drains of gangs, and evictions of tasks.
 
 use super::{
-    info, warn, Context, DrainOutcome, Job, JobId, JobSpec, Member, Micros, Phase, Placement,
-    Removal, Shard, Stop, StopReason, TaskKey,
+    debug, info, warn, Context, DrainOutcome, Job, JobId, JobSpec, Member, Micros, Phase,
+    Placement, Removal, Shard, Stop, StopReason, TaskKey,
 };
 
 /// First backoff of a gang after one of its members has used up its attempts, in seconds.
@@ -134,7 +134,8 @@
         if p.stop.is_some() || job.ending.is_some() {
             return;
         }
-        info!(task = %task, machine = %p.machine, ?cause, "evicting task");
+        debug!(task = %task, machine = %p.machine, ?cause, "evicting task");
+        self.activity.count_eviction(cause);
         if job.gang.is_some() {
             self.drain_gang(context, &task.job, None, cause, grace);
         } else if p.phase == Phase::Recording {
--- a/crates/seamfront-core/src/shard/heartbeats.rs
+++ b/crates/seamfront-core/src/shard/heartbeats.rs
@@ -1,8 +1,8 @@
 //! Heartbeats of agents: the evidence of which tasks are on a machine.
 
 use super::{
-    debug, info, warn, BTreeMap, Context, Exit, Heartbeat, JobKind, MachineId, Phase, Removal,
-    Shard, StopReason, TaskKey, TaskState, TaskStatus,
+    debug, info, warn, BTreeMap, BTreeSet, Context, Exit, Heartbeat, JobKind, MachineId, Phase,
+    Removal, Shard, ShardPhase, StopReason, TaskKey, TaskState, TaskStatus,
 };
 use crate::machine::Machine;
 use crate::types::MachineType;
@@ -47,12 +47,13 @@
         }
         let evidence = update_machine(m, context, heartbeat, source, self.version);
         let placed: Vec<TaskKey> = m.tasks.iter().cloned().collect();
-        m.unexpected_tasks.clear();
+        let unexpected_before = std::mem::take(&mut m.unexpected_tasks);
         self.count_work(placed.len() + heartbeat.tasks.len());
         self.reconcile_placed(context, heartbeat, &placed, evidence);
         for status in &heartbeat.tasks {
             self.handle_unplaced_task(&id, status, evidence.fresh);
         }
+        self.warn_of_unexpected(context, heartbeat, &unexpected_before);
         if evidence.first_preemption_notice {
             info!(machine = %id, "machine will be preempted by the cloud");
             self.evict_movable_tasks(context, &id);
@@ -184,12 +185,45 @@
             }
             return;
         }
-        warn!(task = %key, machine = %machine, attempt = status.attempt, "task was not placed on this machine; stopping it");
+        debug!(task = %key, machine = %machine, attempt = status.attempt, "task was not placed on this machine");
         if let Some(m) = self.machines.get_mut(machine) {
             m.unexpected_tasks.insert(key.clone());
         }
     }
 
+    /// Logs that an agent lists tasks that were not placed on its machine, and that it did not list before. While the
+    /// former holder's records are being read, all tasks are of this kind.
+    fn warn_of_unexpected(
+        &self,
+        context: &Context,
+        heartbeat: &Heartbeat,
+        before: &BTreeSet<TaskKey>,
+    ) {
+        let Some(m) = self.machines.get(&heartbeat.machine) else {
+            return;
+        };
+        let mut new = m.unexpected_tasks.difference(before);
+        let Some(first) = new.next().filter(|_| self.phase == ShardPhase::Ready) else {
+            return;
+        };
+        let settings = context.settings;
+        let listed = heartbeat.tasks.iter().find(|status| status.task == *first);
+        let attempt = listed.map(|status| status.attempt);
+        warn!(
+            machine = %m.id,
+            tasks = 1 + new.count(),
+            first = %first,
+            attempt,
+            controller = %settings.members[settings.member_index],
+            fencing_token = m.fencing_token(self.version),
+            token_shown = heartbeat.fencing_token,
+            incarnation = heartbeat.incarnation,
+            last_started = m.order_history.started.as_ref().map(tracing::field::display),
+            last_forgotten = m.order_history.forgotten.as_ref().map(tracing::field::display),
+            "tasks were not placed on this machine; stopping them"
+        );
+    }
+
     /// Evicts all tasks that can be moved from a machine about to be preempted by the cloud. Array tasks without
     /// checkpoints keep running, since eviction would lose their work as well.
     fn evict_movable_tasks(&mut self, context: &mut Context, id: &MachineId) {
@@ -203,7 +237,7 @@
             };
             let movable = job.spec.supports_checkpoints() || job.spec.kind != JobKind::Array;
             if movable {
-                self.evict(context, &task, StopReason::Moving);
+                self.evict(context, &task, StopReason::MachinePreempted);
             }
         }
     }
--- a/crates/seamfront-core/src/shard/inspection.rs
+++ b/crates/seamfront-core/src/shard/inspection.rs
@@ -19,6 +19,7 @@
             return;
         }
         self.inspection_next = context.now + INSPECTION_INTERVAL;
+        self.log_activity(context);
         self.count_work(INSPECTION_COST * self.machines.len());
         self.expire_leases(context);
         self.detect_failures(context);
--- a/crates/seamfront-core/src/shard/jobs.rs
+++ b/crates/seamfront-core/src/shard/jobs.rs
@@ -1,9 +1,9 @@
 //! Jobs of a shard: how they are added, adopted from a former holder's records, and ended.
 
 use super::{
-    info, spec_of_ended_job, stop_remaining_tasks, task_removal, BTreeSet, Context, Ending, Job,
-    JobId, JobSpec, MachineId, Micros, Phase, Rc, Removal, Shard, ShardPhase, Stop, StopReason,
-    StoredRecord, TaskKey,
+    debug, info, spec_of_ended_job, stop_remaining_tasks, task_removal, BTreeSet, Context, Ending,
+    Job, JobId, JobSpec, MachineId, Micros, Phase, Rc, Removal, Shard, ShardPhase, Stop,
+    StopReason, StoredRecord, TaskKey,
 };
 
 impl Shard {
@@ -128,6 +128,7 @@
         }
         info!(
             shard = self.index,
+            fencing_token = self.version,
             jobs = self.jobs.len(),
             machines = self.machines.len(),
             "shard ready"
@@ -147,7 +148,7 @@
             }
             Some(_) => return,
             None => {
-                info!(job = %id, "job cancelled; stopping its tasks");
+                debug!(job = %id, "job cancelled; stopping its tasks");
                 job.ending = Some(Ending::Cancelled);
                 let mut never_sent = Vec::new();
                 for (i, p) in &mut job.tasks {
--- a/crates/seamfront-core/src/shard/machine_views.rs
+++ b/crates/seamfront-core/src/shard/machine_views.rs
@@ -1,7 +1,7 @@
 //! The leader's view of a shard's machines, and the release of machines to the leader.
 
 use super::{
-    debug, info, Context, JobId, JobKind, MachineId, Member, Micros, Priority, Resources, Shard,
+    debug, Context, JobId, JobKind, MachineId, Member, Micros, Priority, Resources, Shard,
     ShardPhase, StopReason, TaskKey,
 };
 use crate::job::Job;
@@ -118,7 +118,8 @@
         {
             return;
         }
-        info!(machine = %id, tasks = tasks.len(), ?above, "draining machine for another shard");
+        debug!(machine = %id, tasks = tasks.len(), ?above, "draining machine for another shard");
+        self.activity.counts.machines_drained += 1;
         m.lifecycle.draining_since = Some(context.now);
         for task in tasks {
             self.evict(context, &task, StopReason::Preempted);
--- a/crates/seamfront-core/src/shard/mod.rs
+++ b/crates/seamfront-core/src/shard/mod.rs
@@ -21,6 +21,7 @@
 use std::rc::Rc;
 use tracing::{debug, info, warn};
 
+mod activity;
 mod direct_commands;
 mod drain;
 mod failure_detection;
@@ -33,6 +34,7 @@
 mod records;
 mod task_removal;
 
+use activity::Activity;
 pub use heartbeats::StatusSource;
 pub use records::{machine_write, ShardWrite, WriteOutcome};
 use records::{spec_of_ended_job, stop_remaining_tasks};
@@ -118,6 +120,8 @@
     pub items_examined: Cell<i64>,
     /// Machines with room reserved for gangs in the last scheduling cycle.
     pub(crate) gang_reservations: BTreeSet<MachineId>,
+    /// Counts of frequent events.
+    activity: Activity,
     /// When the next inspection of the machines is due.
     inspection_next: Micros,
     /// Machines on which tasks may wait for a direct start.
@@ -162,6 +166,7 @@
             last_cycle_cost: 0,
             items_examined: Cell::new(0),
             gang_reservations: BTreeSet::new(),
+            activity: Activity::default(),
             inspection_next: Micros::ZERO,
             direct_start_candidates: BTreeSet::new(),
             machine_writes_next: Micros::ZERO,
--- a/crates/seamfront-core/src/shard/task_removal.rs
+++ b/crates/seamfront-core/src/shard/task_removal.rs
@@ -43,6 +43,7 @@
         else {
             return;
         };
+        self.activity.count_removal(why);
         let machine = &placement.machine;
         match why {
             Removal::Exited(Exit::Error) => self.record_task_failure(context, task, machine),
@@ -120,8 +121,11 @@
         if on_new_machine && job.backoff_until <= context.now {
             job.consecutive_errors += 1;
         }
-        warn!(job = %task.job, machine = %machine, errors = job.consecutive_errors, "task failed");
+        debug!(task = %task, machine = %machine, errors = job.consecutive_errors, "task failed");
         if job.failing() {
+            if on_new_machine && job.consecutive_errors == FAILING_AFTER_ERRORS {
+                info!(job = %task.job, errors = job.consecutive_errors, "job counts as failing; it is retried with few tasks");
+            }
             job.backoff_until = job
                 .backoff_until
                 .max(context.now + failure_backoff(job.consecutive_errors));
@@ -204,7 +208,13 @@
             (Removal::Lost, _) if p.phase > Phase::Recording && silent => Some(task.index),
             _ => None,
         };
-        self.drain_gang(context, &task.job, trigger, StopReason::Peers, Micros::ZERO);
+        self.drain_gang(
+            context,
+            &task.job,
+            trigger,
+            StopReason::GangDrained,
+            Micros::ZERO,
+        );
         if let Some(g) = self.jobs.get_mut(&task.job).and_then(|j| j.gang.as_mut()) {
             g.mark_preempted(task.index);
         }
@@ -227,7 +237,7 @@
         }
         job.done_generation = job.record.mark_changed();
         if job.done.count() == job.spec.tasks {
-            info!(job = %task.job, "all tasks done");
+            debug!(job = %task.job, "all tasks done");
             job.ending = Some(Ending::Completing);
         }
     }
--- a/crates/seamfront-core/src/store_session/claims.rs
+++ b/crates/seamfront-core/src/store_session/claims.rs
@@ -126,7 +126,7 @@
             return NextStep::Wait;
         }
         // Once duties are in force, the claim to leadership is never acquired again.
-        if claim == ClaimId::Leader && inputs.duties_in_force {
+        if claim == ClaimId::Leader && inputs.duties_have_own_claims {
             return NextStep::Wait;
         }
         match &state.seen {
--- a/crates/seamfront-core/src/store_session/mod.rs
+++ b/crates/seamfront-core/src/store_session/mod.rs
@@ -128,7 +128,7 @@
 /// State of other components that a tick depends on.
 pub(crate) struct TickInputs {
     /// Duties have claims of their own, which replace the claim to leadership.
-    pub(crate) duties_in_force: bool,
+    pub(crate) duties_have_own_claims: bool,
     /// No agent can reach this controller.
     pub(crate) inbound_partitioned: bool,
     /// Another controller is ready.
--- a/crates/seamfront-lease/src/manager/claims.rs
+++ b/crates/seamfront-lease/src/manager/claims.rs
@@ -154,7 +154,7 @@
         if self.settings_differ() {
             return self.give_up_duties();
         }
-        if !self.duties_in_force() {
+        if !self.duties_have_own_claims() {
             return;
         }
         for index in 0..self.duties.len() {
--- a/crates/seamfront-lease/src/manager/switch.rs
+++ b/crates/seamfront-lease/src/manager/switch.rs
@@ -11,7 +11,7 @@
 
 impl DutyManager {
     /// Whether duties have claims of their own.
-    pub fn duties_in_force(&self) -> bool {
+    pub fn duties_have_own_claims(&self) -> bool {
         self.settings.former_claim.is_none() || self.switch.is_some()
     }
 
--- a/crates/seamfront-lease/tests/forms.rs
+++ b/crates/seamfront-lease/tests/forms.rs
@@ -371,7 +371,7 @@
     let mut harness = Harness::new("n1", Some("leader"));
     harness.put("duty/switch", r#"{"by":"n0","ended":1,"format":1}"#, None);
     harness.run(3_000);
-    assert!(harness.manager.duties_in_force());
+    assert!(harness.manager.duties_have_own_claims());
     let expected = r#"
         duty/member/n1 {"format":1,"lease":1,"leaving":false,"load":0,"settings":{"duties":["renting"],"lease_ms":4000,"members":["n0","n1"]}} under 1
         duty/version/n1 {"format":1}
--- a/crates/seamfront-testing/src/lib.rs
+++ b/crates/seamfront-testing/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`fleet_reconciler`] | the work that the members of that simulation and of the examples do under their duties |
 //! | [`shard_harness`] | one shard, driven step by step |
 //! | [`engine_harness`] | one engine with a store of its own |
+//! | [`log_capture`] | the log lines of a piece of code |
 //!
 //! This crate is a development dependency only and is never published.
 #![forbid(unsafe_code)]
@@ -21,6 +22,7 @@
 pub mod engine_harness;
 pub mod fleet_reconciler;
 pub mod http;
+pub mod log_capture;
 pub mod member_simulation;
 pub mod shard_harness;
 pub mod simulation;
