--- a/crates/seamfront-core/tests/reconciliation.rs
+++ b/crates/seamfront-core/tests/reconciliation.rs
@@ -483,6 +483,25 @@
         }
     }
 
+    /// Sends a heartbeat and runs steps until a direct command is sent. Returns its call.
+    fn direct_command_after(&mut self, now: Micros, heartbeat: Heartbeat) -> CallId {
+        let sent = |effects: Vec<Effect>| {
+            effects.into_iter().find_map(|effect| match effect {
+                Effect::SendDirect { call, .. } => Some(call),
+                _ => None,
+            })
+        };
+        let heartbeat = Command::Heartbeat {
+            to: 8,
+            heartbeat: Box::new(heartbeat),
+        };
+        let at_once = sent(self.step(now, vec![heartbeat]));
+        let later = |k: i64| now + Micros::from_millis(50 * k);
+        at_once
+            .or_else(|| (1..20).find_map(|k| sent(self.step(later(k), vec![]))))
+            .expect("a task is started directly")
+    }
+
     /// Returns the fencing token of the reply, or `None` if the heartbeat was redirected (HTTP status 421).
     fn heartbeat(&mut self, now: Micros, heartbeat: Heartbeat) -> Option<u64> {
         let effects = self.step(
@@ -511,6 +530,37 @@
     }
 }
 
+/// The leader may have assigned the machine to another shard, at a revision that the view of machines does not contain
+/// yet. That shard's holder must have the higher token.
+#[test]
+fn token_is_not_raised_past_the_view_of_machines() {
+    let mut controller = SingleController::with_entries(vec![put("job/j-0", &*job("j-0", 1))]);
+    controller.run(0, 2_000);
+    let viewed = controller.store.revision;
+    let exited = [("j-0", 1, TaskState::Exited(Exit::Error))];
+    let token = controller
+        .heartbeat(s(2), heartbeat("i-0", 1, 1, 0, &[]))
+        .expect("the shard is held");
+    let call = controller.direct_command_after(s(3), heartbeat("i-0", 1, 2, token, &[]));
+    let outcome = DirectOutcome::Settled {
+        heartbeat: Box::new(heartbeat("i-0", 1, 3, token, &exited)),
+    };
+    let machine = MachineId::from("i-0");
+    let result = Command::DirectResult {
+        call,
+        machine,
+        outcome,
+    };
+    controller.step(s(4), vec![result]);
+    controller.write(vec![put("unrelated", 1)]);
+    controller.run(4_050, 8_000);
+    let lagging = controller.heartbeat(s(8), heartbeat("i-0", 1, 4, token, &exited));
+    assert!(
+        lagging <= Some(viewed),
+        "{lagging:?}: the claim was confirmed at later revisions, but the view of machines ends at {viewed}"
+    );
+}
+
 /// If its heartbeats were answered as usual, the agent would stay with this controller and ignore every reply until its
 /// lease expires. The claim is kept if it was verified a moment ago: the newer token then only means that the machine's
 /// record was rewritten.
