Plainer names for the token limit, and one place for what is due at intervals

`safe_token` had to be explained, and said neither what it limits nor where; `current_at` was a revision. Two pieces of code decided when a line is due, beside a function of the messages between controllers that already did. The number of exited tasks that an agent lists stood among its fencing. Each reply copied every order for the log line about misplaced tasks, where only the last of a kind is kept.

Change: token_limit (also in the log line), confirmed_revision, a module `timer` that all three use, the number with the agent. No decision changes.

--- a/crates/seamfront-core/src/engine/messages.rs
+++ b/crates/seamfront-core/src/engine/messages.rs
@@ -6,6 +6,7 @@
 use crate::port::{ClaimAnnouncement, Effect, JobProgress, PeerMessage, Progress};
 use crate::shard::{Shard, ShardPhase};
 use crate::store_session::ClaimId;
+use crate::timer::due;
 use crate::types::{JobId, Micros};
 use std::collections::BTreeMap;
 use tracing::warn;
@@ -74,15 +75,6 @@
     }
 }
 
-/// Whether the time `next` has been reached. If so, sets it to an interval from now.
-fn due(next: &mut Micros, now: Micros, interval: Micros) -> bool {
-    let due = now >= *next;
-    if due {
-        *next = now + interval;
-    }
-    due
-}
-
 impl Engine {
     pub(super) fn send_periodic_messages(&mut self) {
         if self.periodic_messages.announcement_due(self.now) {
--- a/crates/seamfront-core/src/engine/mod.rs
+++ b/crates/seamfront-core/src/engine/mod.rs
@@ -190,7 +190,7 @@
         call: impl FnOnce(&mut Shard, &mut Context) -> R,
     ) -> Option<R> {
         let claim_verified = self.claim_verified(ClaimId::Shard(shard));
-        let safe_token = self.store.safe_token(ClaimId::Shard(shard));
+        let token_limit = self.store.token_limit(ClaimId::Shard(shard));
         let layout = self.layout();
         let settings = self.settings.clone();
         let shard = self.shards.get_mut(shard)?.as_mut()?;
@@ -202,7 +202,7 @@
             effects: &mut self.effects,
             next_call: &mut self.next_call,
             claim_verified,
-            safe_token: safe_token.unwrap_or(0),
+            token_limit: token_limit.unwrap_or(0),
             layout,
         };
         Some(call(shard, &mut context))
--- a/crates/seamfront-core/src/jobs/dependency_graph.rs
+++ b/crates/seamfront-core/src/jobs/dependency_graph.rs
@@ -2,13 +2,11 @@
 
 use super::cascade::CascadeCancellation;
 use super::{EndRecord, JobContext, JobRegistry, LiveJob};
+use crate::timer::{due, COUNTS_LOG_INTERVAL};
 use crate::types::{JobId, Micros};
 use std::collections::{BTreeMap, BTreeSet};
 use tracing::{debug, info};
 
-/// Interval between two lines on the jobs whose dependencies are done.
-const LOG_INTERVAL: Micros = Micros::from_secs(10);
-
 /// State of a request to the store that is repeated until it succeeds.
 #[derive(Debug, Default)]
 pub(super) struct RetryState {
@@ -51,14 +49,11 @@
 impl JobRegistry {
     /// Logs the number of unblocked jobs if that is due.
     pub(super) fn log_unblocked(&mut self, now: Micros) {
-        if self.unblocked.count == 0 || now < self.unblocked.next_log {
-            return;
+        let UnblockedJobs { count, next_log } = &mut self.unblocked;
+        if *count > 0 && due(next_log, now, COUNTS_LOG_INTERVAL) {
+            info!(jobs = *count, "dependencies of jobs are done");
+            *count = 0;
         }
-        info!(jobs = self.unblocked.count, "dependencies of jobs are done");
-        self.unblocked = UnblockedJobs {
-            count: 0,
-            next_log: now + LOG_INTERVAL,
-        };
     }
 
     /// Adds a job that has just become live to the graph. Returns whether it has dependencies.
--- a/crates/seamfront-core/src/leader/provisioning.rs
+++ b/crates/seamfront-core/src/leader/provisioning.rs
@@ -265,7 +265,7 @@
         info!(name, kind = %record.machine_type, zone = %record.zone, spot = record.spot, count = record.count, shard = record.shard, machines = ?ids.iter().map(|id| id.as_str()).collect::<Vec<_>>(), "machines provisioned");
         for id in &ids {
             self.boot_times
-                .provisioned(id.clone(), &provisioning.record.machine_type, now);
+                .provisioned(id.clone(), &record.machine_type, now);
         }
         let complete = ids.len() as u32 >= provisioning.record.count;
         provisioning.machines = ids;
--- a/crates/seamfront-core/src/lib.rs
+++ b/crates/seamfront-core/src/lib.rs
@@ -49,6 +49,7 @@
 mod scheduling;
 pub mod shard;
 pub mod store_session;
+mod timer;
 pub mod types;
 pub mod user_api;
 mod write_pacing;
--- a/crates/seamfront-core/src/machine/agent.rs
+++ b/crates/seamfront-core/src/machine/agent.rs
@@ -38,6 +38,8 @@
     pub last_reply: Option<Micros>,
     /// Its lease expired, and no heartbeat has shown our current token since.
     pub lease_expired: bool,
+    /// Number of exited tasks that it listed last.
+    pub exited_listed: usize,
 }
 
 impl Agent {
--- a/crates/seamfront-core/src/machine/fencing.rs
+++ b/crates/seamfront-core/src/machine/fencing.rs
@@ -31,6 +31,4 @@
     pub last_command_token: u64,
     /// The token that this holder has raised its own to since it took the machine over; 0 before the first time.
     pub raised_token: u64,
-    /// Number of exited tasks that the agent listed last.
-    pub exited_listed: usize,
 }
--- a/crates/seamfront-core/src/machine/mod.rs
+++ b/crates/seamfront-core/src/machine/mod.rs
@@ -132,14 +132,14 @@
 
     /// Whether a reply may tell its agent to forget attempts. An agent that has forgotten an attempt starts it again if
     /// a copy of the start command arrives, so the reply must carry a higher token than any direct command so far: the
-    /// agent then refuses all copies. Raises the token for this if it can, up to `safe_token`.
-    pub fn allow_forgetting(&mut self, claim_version: u64, safe_token: u64) -> bool {
+    /// agent then refuses all copies. Raises the token for this if it can, up to `token_limit`.
+    pub fn allow_forgetting(&mut self, claim_version: u64, token_limit: u64) -> bool {
         if self.fencing.direct_command.is_some() {
             return false;
         }
         let last_command = self.fencing.last_command_token;
-        if self.fencing_token(claim_version) <= last_command && safe_token > last_command {
-            self.fencing.raised_token = safe_token;
+        if self.fencing_token(claim_version) <= last_command && token_limit > last_command {
+            self.fencing.raised_token = token_limit;
         }
         self.fencing_token(claim_version) > last_command
     }
@@ -172,7 +172,7 @@
             && self.lifecycle.in_service()
             && !self.health.quarantined()
             && self.health.full_until <= now
-            && self.fencing.exited_listed <= MAX_EXITED_LISTED
+            && self.agent.exited_listed <= MAX_EXITED_LISTED
     }
 
     /// Time since its last heartbeat, or since this holder took it over if that was later.
--- a/crates/seamfront-core/src/machine/order_history.rs
+++ b/crates/seamfront-core/src/machine/order_history.rs
@@ -38,20 +38,23 @@
 }
 
 impl OrderHistory {
-    /// Records orders that are sent in one message.
+    /// Records the last order of each kind in a message.
     pub fn record(&mut self, orders: &[Order], fencing_token: u64, sent: Micros) {
-        for order in orders {
-            let (entry, task, attempt) = match order {
-                Order::Start { task, attempt } => (&mut self.started, task, attempt),
-                Order::Forget { task, attempt } => (&mut self.forgotten, task, attempt),
-                Order::Stop { .. } => continue,
-            };
-            *entry = Some(PastOrder {
-                task: task.clone(),
-                attempt: *attempt,
-                fencing_token,
-                sent,
-            });
-        }
+        let past_order = |task: &TaskKey, attempt: u64| PastOrder {
+            task: task.clone(),
+            attempt,
+            fencing_token,
+            sent,
+        };
+        let started = orders.iter().rev().find_map(|order| match order {
+            Order::Start { task, attempt } => Some(past_order(task, *attempt)),
+            _ => None,
+        });
+        let forgotten = orders.iter().rev().find_map(|order| match order {
+            Order::Forget { task, attempt } => Some(past_order(task, *attempt)),
+            _ => None,
+        });
+        self.started = started.or(self.started.take());
+        self.forgotten = forgotten.or(self.forgotten.take());
     }
 }
--- a/crates/seamfront-core/src/shard/activity.rs
+++ b/crates/seamfront-core/src/shard/activity.rs
@@ -1,10 +1,8 @@
 //! Counts of frequent events in a shard, logged together at intervals. A line for each event would push older lines out
 //! of the kept log on a large fleet; the single events are logged at debug level.
 
-use super::{info, Context, Exit, Micros, Removal, Shard, ShardPhase, StopReason};
-
-/// Interval between two lines.
-const LOG_INTERVAL: Micros = Micros::from_secs(10);
+use super::{info, Context, Exit, Micros, Order, Removal, Shard, ShardPhase, StopReason};
+use crate::timer::{due, COUNTS_LOG_INTERVAL};
 
 /// Numbers of events since the last line.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -27,8 +25,6 @@
     pub(super) machines_drained: usize,
     /// Attempts that agents were told to forget.
     pub(super) forgotten: usize,
-    /// Fencing tokens raised so that attempts could be forgotten.
-    pub(super) tokens_raised: usize,
     /// Replies that could not let the agent forget attempts yet.
     pub(super) forgetting_deferred: usize,
 }
@@ -54,6 +50,13 @@
         *count += 1;
     }
 
+    /// Counts the attempts that a reply lets its agent forget, and whether it could not let it forget any yet.
+    pub(super) fn count_forgetting(&mut self, orders: &[Order], deferred: bool) {
+        let forgets = |order: &&Order| matches!(order, Order::Forget { .. });
+        self.counts.forgotten += orders.iter().filter(forgets).count();
+        self.counts.forgetting_deferred += usize::from(deferred);
+    }
+
     /// Counts a task that is evicted.
     pub(super) fn count_eviction(&mut self, cause: StopReason) {
         match cause {
@@ -66,15 +69,18 @@
 impl Shard {
     /// Logs the counts if that is due and anything has happened.
     pub(super) fn log_activity(&mut self, context: &Context) {
-        let due = context.now >= self.activity.next_log;
         let counts = self.activity.counts;
-        if self.phase != ShardPhase::Ready || !due || counts == EventCounts::default() {
+        let next_log = &mut self.activity.next_log;
+        if self.phase != ShardPhase::Ready
+            || counts == EventCounts::default()
+            || !due(next_log, context.now, COUNTS_LOG_INTERVAL)
+        {
             return;
         }
         info!(
             shard = self.index,
             fencing_token = self.version,
-            safe_token = context.safe_token,
+            token_limit = context.token_limit,
             started_directly = counts.started_directly,
             completed = counts.completed,
             failed = counts.failed,
@@ -84,13 +90,9 @@
             evicted = counts.evicted,
             machines_drained = counts.machines_drained,
             forgotten = counts.forgotten,
-            tokens_raised = counts.tokens_raised,
             forgetting_deferred = counts.forgetting_deferred,
             "shard activity"
         );
-        self.activity = Activity {
-            counts: EventCounts::default(),
-            next_log: context.now + LOG_INTERVAL,
-        };
+        self.activity.counts = EventCounts::default();
     }
 }
--- a/crates/seamfront-core/src/shard/heartbeats.rs
+++ b/crates/seamfront-core/src/shard/heartbeats.rs
@@ -263,7 +263,7 @@
             m.agent.lease_expired = false;
         }
     }
-    m.fencing.exited_listed = heartbeat
+    m.agent.exited_listed = heartbeat
         .tasks
         .iter()
         .filter(|status| matches!(status.state, TaskState::Exited(_)))
--- a/crates/seamfront-core/src/shard/mod.rs
+++ b/crates/seamfront-core/src/shard/mod.rs
@@ -66,8 +66,8 @@
     pub next_call: &'a mut CallId,
     /// The claim was verified recently enough to reply to heartbeats and to send commands.
     pub claim_verified: bool,
-    /// Fencing tokens of machines may be raised up to this one: every later holder's token is higher.
-    pub safe_token: u64,
+    /// The highest fencing token that may be given out: every later holder's is higher. 0 for none.
+    pub token_limit: u64,
     /// The current layout of records.
     pub layout: Layout,
 }
--- a/crates/seamfront-core/src/shard/orders.rs
+++ b/crates/seamfront-core/src/shard/orders.rs
@@ -17,11 +17,8 @@
         };
         // A delayed copy may list tasks that ended long ago: it only serves to stop unexpected tasks.
         let fresh = m.is_current_token(heartbeat.fencing_token, self.version);
-        let token_before = m.fencing_token(self.version);
-        let has_exited = fresh && m.fencing.exited_listed > 0;
-        let may_forget = has_exited && m.allow_forgetting(self.version, context.safe_token);
-        let fencing_token = m.fencing_token(self.version);
-        let m = &*m;
+        let has_exited = fresh && m.agent.exited_listed > 0;
+        let may_forget = has_exited && m.allow_forgetting(self.version, context.token_limit);
         let mut orders: Vec<Order> = heartbeat
             .tasks
             .iter()
@@ -37,16 +34,10 @@
                 order_for_placed(context, job, key, m.agent.incarnation, may_start)
             }));
         }
-        let counts = &mut self.activity.counts;
-        counts.tokens_raised += usize::from(fencing_token > token_before);
-        counts.forgetting_deferred += usize::from(has_exited && !may_forget);
-        counts.forgotten += orders
-            .iter()
-            .filter(|order| matches!(order, Order::Forget { .. }))
-            .count();
-        if let Some(m) = self.machines.get_mut(&heartbeat.machine) {
-            m.order_history.record(&orders, fencing_token, context.now);
-        }
+        let token = m.fencing_token(self.version);
+        m.order_history.record(&orders, token, context.now);
+        self.activity
+            .count_forgetting(&orders, has_exited && !may_forget);
         orders
     }
 }
--- a/crates/seamfront-core/src/store_session/claim.rs
+++ b/crates/seamfront-core/src/store_session/claim.rs
@@ -52,8 +52,8 @@
     /// Time at which the last successful verification was sent. A verification succeeds only once the view of jobs is
     /// at least as new as the store's confirmation.
     pub(super) last_verified: Option<Micros>,
-    /// The highest revision of the store at which the claim is known to have been current.
-    pub(super) current_at: u64,
+    /// The highest revision at which the store has confirmed that the claim is current.
+    pub(super) confirmed_revision: u64,
     /// For a claim on a shard: whether the predecessor's records have been read.
     pub(super) records_read: bool,
 }
--- a/crates/seamfront-core/src/store_session/claims.rs
+++ b/crates/seamfront-core/src/store_session/claims.rs
@@ -224,7 +224,7 @@
             token: version,
             acquired_at: context.now,
             last_verified: None,
-            current_at: version,
+            confirmed_revision: version,
             records_read: false,
         });
         self.verification.request_now(context.now);
--- a/crates/seamfront-core/src/store_session/mod.rs
+++ b/crates/seamfront-core/src/store_session/mod.rs
@@ -276,12 +276,12 @@
         self.state(claim)?.held?.last_verified
     }
 
-    /// A revision of the store at which a claim was current and which the view of machines has reached: any other
-    /// holder of the shard, or of a machine that is in the shard by this view, got its rights at a later revision.
-    /// None unless this controller acts under the claim.
-    pub(crate) fn safe_token(&self, claim: ClaimId) -> Option<u64> {
-        let current_at = self.state(claim)?.held?.current_at;
-        Some(current_at.min(self.revision(ViewId::Machines)))
+    /// The highest fencing token that may be given out under a claim: a revision at which the store has confirmed the
+    /// claim and which the view of machines has reached. Any later holder of the shard, or of a machine that this view
+    /// shows in the shard, acquires it at a later revision. None unless this controller acts under the claim.
+    pub(crate) fn token_limit(&self, claim: ClaimId) -> Option<u64> {
+        let confirmed = self.state(claim)?.held?.confirmed_revision;
+        Some(confirmed.min(self.revision(ViewId::Machines)))
     }
 
     /// All claims: first those on shards, then the one to leadership.
--- a/crates/seamfront-core/src/store_session/verification.rs
+++ b/crates/seamfront-core/src/store_session/verification.rs
@@ -71,7 +71,7 @@
     ) {
         match reply {
             StoreReply::Committed { revision } => {
-                self.current_at(&claims, revision);
+                self.record_confirmation(&claims, revision);
                 if self.watch(ViewId::Jobs).reaches(revision) {
                     return self.verified(context, sent, &claims);
                 }
@@ -97,12 +97,12 @@
         }
     }
 
-    /// Records that these claims were current at a revision of the store.
-    fn current_at(&mut self, claims: &[VerifiedClaim], revision: u64) {
+    /// Records that the store has confirmed these claims at a revision.
+    fn record_confirmation(&mut self, claims: &[VerifiedClaim], revision: u64) {
         for VerifiedClaim { claim, token } in claims {
             let held = self.state_mut(*claim).held.as_mut();
             if let Some(held) = held.filter(|held| held.token == *token) {
-                held.current_at = held.current_at.max(revision);
+                held.confirmed_revision = held.confirmed_revision.max(revision);
             }
         }
     }
--- a/crates/seamfront-testing/src/shard_harness.rs
+++ b/crates/seamfront-testing/src/shard_harness.rs
@@ -112,7 +112,7 @@
     /// Counter that the ids of store requests are taken from.
     pub next_call: CallId,
     /// The revision that fencing tokens may be raised up to; 0 for none.
-    pub safe_token: u64,
+    pub token_limit: u64,
 }
 
 impl ShardHarness {
@@ -151,7 +151,7 @@
             shard,
             effects: Vec::new(),
             next_call: 1,
-            safe_token: 0,
+            token_limit: 0,
         };
         harness.with(s(100), seamfront_core::shard::Shard::finish_loading);
         harness
@@ -169,7 +169,7 @@
             effects,
             next_call,
             claim_verified: true,
-            safe_token: self.safe_token,
+            token_limit: self.token_limit,
             layout,
         };
         f(&mut self.shard, &mut context)
