Tests of copies: each hard case is reached, and requests for duties are repeated too

Need: the seeded tests of repeated requests did not show that the hard cases occur in them, and three of the cases had no seeded run of their own: starts that were refused, tasks that save, jobs bound to a zone.

Change: a copy counts what it meets as it arrives: a forgotten attempt, a task that is elsewhere, cancelled, saving, refused before, an old attempt of a gang, a job in another zone, a former holder's command, an age of over a minute; and which records its transaction names. The tests assert these counts. Agents may refuse a part of the starts (Fault::RefuseStarts), in place of a parameter of the stand-in that nothing used. Two seeded tests and one with duties are new, and one on what a later holder lets an agent forget.

--- a/crates/seamfront-core/tests/repeated_requests.rs
+++ b/crates/seamfront-core/tests/repeated_requests.rs
@@ -8,12 +8,12 @@
 use seamfront_testing::shard_harness::{heartbeat, job, s, ShardHarness, CLAIM_TOKEN};
 use seamfront_testing::simulation::recording::scenario;
 use seamfront_testing::simulation::scenarios::{
-    coverage_count, simulate, simulate_seeds, Coverage,
+    coverage_count, simulate, simulate_at_scale, simulate_seeds,
 };
-use seamfront_testing::simulation::{ms, Fault, Simulation};
+use seamfront_testing::simulation::{ms, Fault, Scale, Simulation, SMALL};
 
 /// A token that the holder may raise the machine's token to.
-const SAFE_TOKEN: u64 = CLAIM_TOKEN + 20;
+const TOKEN_LIMIT: u64 = CLAIM_TOKEN + 20;
 
 /// Schedules what waits and sends the direct commands that are due. Returns token and orders of the only command.
 fn send_direct_command(harness: &mut ShardHarness, now: Micros) -> (u64, Vec<Order>) {
@@ -87,29 +87,42 @@
         assert!(!harness.placed("j-0"), "{exit:?} frees the place at once");
         assert_eq!(token_of(&harness), CLAIM_TOKEN);
 
-        harness.safe_token = SAFE_TOKEN;
+        harness.token_limit = TOKEN_LIMIT;
         let orders = harness.heartbeat(s(103), &heartbeat("i-0", 1, 4, CLAIM_TOKEN, &exited));
         assert!(forgets(&orders), "{exit:?}: {orders:?}");
-        assert_eq!(token_of(&harness), SAFE_TOKEN);
+        assert_eq!(token_of(&harness), TOKEN_LIMIT);
     }
 }
 
+/// The copy of a former holder's command has a lower token than any reply of the later holder.
+#[test]
+fn a_later_holder_lets_an_agent_forget_only_under_its_own_token() {
+    const FORMER_TOKEN: u64 = CLAIM_TOKEN - 10;
+    let mut harness = ShardHarness::new(1, 1);
+    let exited = [("j-0", 3, TaskState::Exited(Exit::Error))];
+    let orders = harness.heartbeat(s(101), &heartbeat("i-0", 1, 1, FORMER_TOKEN, &exited));
+    assert!(!forgets(&orders), "{orders:?}");
+    let orders = harness.heartbeat(s(102), &heartbeat("i-0", 1, 2, CLAIM_TOKEN, &exited));
+    assert!(forgets(&orders), "{orders:?}");
+    assert_eq!(token_of(&harness), CLAIM_TOKEN);
+}
+
 #[test]
 fn the_next_start_command_carries_the_raised_token_without_waiting_for_a_heartbeat() {
     let mut harness = shard_with_answered_command();
-    harness.safe_token = SAFE_TOKEN;
+    harness.token_limit = TOKEN_LIMIT;
     harness.shard.add_job(job("j-1", 1), 6, s(102));
     let exited = [("j-0", 1, TaskState::Exited(Exit::Stopped { saved: false }))];
     harness.heartbeat(s(102), &heartbeat("i-0", 1, 3, CLAIM_TOKEN, &exited));
     let (token, _) = send_direct_command(&mut harness, s(102));
-    assert_eq!(token, SAFE_TOKEN);
+    assert_eq!(token, TOKEN_LIMIT);
 }
 
 /// A reply that was on its way under the lower token is dropped, so the agent goes on showing that one for a while.
 #[test]
 fn a_machine_that_has_not_shown_the_raised_token_yet_is_not_given_up() {
     let mut harness = shard_with_answered_command();
-    harness.safe_token = SAFE_TOKEN;
+    harness.token_limit = TOKEN_LIMIT;
     let exited = [("j-0", 1, TaskState::Exited(Exit::Unknown))];
     for sequence in 3..13 {
         let now = s(100 + 2 * sequence);
@@ -128,7 +141,7 @@
 #[test]
 fn tokens_are_raised_only_for_machines_on_which_something_is_to_be_forgotten() {
     let mut harness = shard_with_answered_command();
-    harness.safe_token = SAFE_TOKEN;
+    harness.token_limit = TOKEN_LIMIT;
     let running = [("j-0", 1, TaskState::Running)];
     harness.heartbeat(s(102), &heartbeat("i-0", 1, 3, CLAIM_TOKEN, &running));
     assert_eq!(token_of(&harness), CLAIM_TOKEN);
@@ -181,39 +194,53 @@
     simulation.submit(ms(at), spec);
 }
 
-fn assert_copies_arrived(coverage: &Coverage) {
-    for (what, at_least) in [
-        ("a repeated command was carried out", 20),
-        ("a repeated command was refused", 100),
-        ("a repeated transaction failed", 100),
-        ("a message between controllers was repeated", 100),
-        ("a request to the cloud was repeated", 10),
-    ] {
-        assert!(
-            coverage_count(coverage, what) >= at_least,
-            "{what}: {coverage:?}"
-        );
+/// Simulates a run for each seed, with copies besides the given faults. No copy may start a task again. Each of the
+/// situations must occur, and those that every run is about.
+fn simulate_with_copies(
+    seeds: std::ops::Range<u64>,
+    situations: &[&str],
+    faults: impl Fn(&mut Simulation, i64),
+) {
+    let coverage = simulate_seeds(seeds, |simulation, faults_end_ms| {
+        repeat_requests(simulation, faults_end_ms);
+        faults(simulation, faults_end_ms);
+    });
+    let usual = [
+        "a repeated command was carried out",
+        "a repeated command was refused for its token",
+        "a copy named a forgotten attempt",
+        "a copy came more than a minute later",
+        "a repeated transaction failed",
+        "a message between controllers was repeated",
+        "a request to the cloud was repeated",
+        "the acceptance of a job was repeated",
+        "the end of a job was repeated",
+        "the write of a work record was repeated",
+        "the removal of a work record was repeated",
+        "the write of a machine record was repeated",
+        "the write of a provisioning record was repeated",
+        "the removal of a provisioning record was repeated",
+        "the write of machine types was repeated",
+    ];
+    for what in usual.iter().chain(situations) {
+        assert!(coverage_count(&coverage, what) >= 5, "{what}: {coverage:?}");
     }
-    assert_eq!(
-        coverage_count(coverage, "a repeated command started a task again"),
-        0,
-        "{coverage:?}"
-    );
+    let started_again = coverage_count(&coverage, "a repeated command started a task again");
+    assert_eq!(started_again, 0, "{coverage:?}");
 }
 
 #[test]
 fn answered_start_commands_that_arrive_again_start_nothing() {
     scenario("repeated_requests.alone");
-    let coverage = simulate_seeds(7_000..7_010, repeat_requests);
-    assert_copies_arrived(&coverage);
+    simulate_with_copies(7_000..7_010, &[], |_, _| {});
 }
 
 /// The way of the incident: tasks fail and are placed elsewhere.
 #[test]
 fn a_task_that_failed_and_was_placed_elsewhere_is_not_started_again_by_a_copy() {
     scenario("repeated_requests.failed_tasks");
-    let coverage = simulate_seeds(7_020..7_030, |simulation, faults_end_ms| {
-        repeat_requests(simulation, faults_end_ms);
+    let situations = ["a copy named a task that was on another machine"];
+    simulate_with_copies(7_020..7_030, &situations, |simulation, _| {
         for n in 100..108 {
             let mut spec = simulation.job(n);
             (spec.team, spec.kind, spec.tasks) = ("d".into(), JobKind::Array, 4);
@@ -225,14 +252,13 @@
             simulation.cancel(ms(at + 25_000), id);
         }
     });
-    assert_copies_arrived(&coverage);
 }
 
 #[test]
 fn a_preempted_task_is_not_started_again_by_a_copy() {
     scenario("repeated_requests.preempted_tasks");
-    let coverage = simulate_seeds(7_040..7_050, |simulation, faults_end_ms| {
-        repeat_requests(simulation, faults_end_ms);
+    let situations = ["a copy named a task that was on another machine"];
+    simulate_with_copies(7_040..7_050, &situations, |simulation, _| {
         for n in 100..130 {
             let at = simulation.draw(2_000..80_000);
             let urgent = n % 2 == 0;
@@ -251,14 +277,13 @@
             });
         }
     });
-    assert_copies_arrived(&coverage);
 }
 
 #[test]
 fn cancelled_tasks_are_not_started_again_by_copies() {
     scenario("repeated_requests.cancelled_tasks");
-    let coverage = simulate_seeds(7_060..7_070, |simulation, faults_end_ms| {
-        repeat_requests(simulation, faults_end_ms);
+    let situations = ["a copy named a task of a cancelled job"];
+    simulate_with_copies(7_060..7_070, &situations, |simulation, _| {
         for k in 0..9 {
             let hang_for = ms(simulation.draw(0..6_000) * (k % 2));
             simulation.fault(
@@ -267,14 +292,16 @@
             );
         }
     });
-    assert_copies_arrived(&coverage);
 }
 
 #[test]
 fn copies_start_nothing_after_a_controller_was_back_within_a_second() {
     scenario("repeated_requests.back_within_a_second");
-    let coverage = simulate_seeds(7_080..7_090, |simulation, faults_end_ms| {
-        repeat_requests(simulation, faults_end_ms);
+    let situations = [
+        "a copy of a former holder's command arrived",
+        "the acquisition of a claim was repeated",
+    ];
+    simulate_with_copies(7_080..7_090, &situations, |simulation, _| {
         for k in 0..8 {
             let claim = ["share/0", "share/1", "share/2", "leader"][simulation.draw(0..4) as usize];
             let restart_after = ms(simulation.draw(50..900));
@@ -289,14 +316,13 @@
             }
         }
     });
-    assert_copies_arrived(&coverage);
 }
 
 #[test]
 fn copies_start_nothing_on_machines_that_hung_restarted_or_lost_answers() {
     scenario("repeated_requests.machines");
-    let coverage = simulate_seeds(7_100..7_110, |simulation, faults_end_ms| {
-        repeat_requests(simulation, faults_end_ms);
+    let situations = ["a repeated command was refused for its incarnation"];
+    simulate_with_copies(7_100..7_110, &situations, |simulation, _| {
         for k in 0..8 {
             let duration = ms(simulation.draw(2_000..14_000));
             let fault = match k % 4 {
@@ -310,7 +336,75 @@
             simulation.fault(ms(8_000 + 10_000 * k), fault);
         }
     });
-    assert_copies_arrived(&coverage);
+}
+
+/// Saving takes long here, so that copies arrive meanwhile; jobs that are bound to one zone lose their machines.
+#[test]
+fn copies_start_nothing_of_tasks_that_save_or_whose_job_changed_its_zone() {
+    scenario("repeated_requests.saving_and_zones");
+    let situations = [
+        "a copy named a task that was saving",
+        "a copy named an old attempt of a gang",
+        "a copy named a job that was in another zone",
+    ];
+    simulate_with_copies(7_160..7_180, &situations, |simulation, _| {
+        for n in 100..130 {
+            let at = simulation.draw(2_000..80_000);
+            let urgent = n % 3 == 0;
+            submit_unbound_job(simulation, n, at, |spec| {
+                (spec.kind, spec.one_zone) = (JobKind::Gang, true);
+                (spec.tasks, spec.spot) = (3, false);
+                spec.priority = if urgent {
+                    Priority::Urgent
+                } else {
+                    Priority::BestEffort
+                };
+                (spec.checkpoint_interval, spec.checkpoint_time) = (ms(5_000), ms(6_000));
+            });
+        }
+        for k in 0..5 {
+            simulation.fault(ms(10_000 + 15_000 * k), Fault::KillMachines { count: 2 });
+        }
+    });
+}
+
+/// Refused starts: the machines are given more tasks than they have room for.
+#[test]
+fn copies_of_refused_starts_start_nothing_once_there_is_room() {
+    scenario("repeated_requests.refused_starts");
+    let situations = ["a copy named an attempt that was refused"];
+    simulate_with_copies(7_180..7_190, &situations, |simulation, _| {
+        simulation.fault(ms(2_000), Fault::RefuseStarts { until: ms(90_000) });
+    });
+}
+
+/// Duties have claims and records of their own.
+#[test]
+fn repeated_requests_break_nothing_while_duties_are_enabled() {
+    scenario("repeated_requests.duties");
+    let scale = Scale {
+        duties: true,
+        ..SMALL
+    };
+    let mut repeated = 0;
+    for seed in 7_200..7_210 {
+        let simulation = simulate_at_scale(seed, scale, |simulation, faults_end_ms| {
+            repeat_requests(simulation, faults_end_ms);
+            for k in 0..4 {
+                let controller = simulation.draw(0..3) as usize;
+                let restart_after = ms(simulation.draw(50..5_000));
+                simulation.fault(
+                    ms(12_000 + 18_000 * k),
+                    Fault::Crash {
+                        controllers: vec![controller],
+                        restart_after,
+                    },
+                );
+            }
+        });
+        repeated += coverage_count(&simulation.coverage, "a write for a duty was repeated");
+    }
+    assert!(repeated > 50, "{repeated} repeated writes for duties");
 }
 
 /// Simulates a run with copies, and goes on until what they bring back must be removed again.
--- a/crates/seamfront-testing/src/simulation/faults.rs
+++ b/crates/seamfront-testing/src/simulation/faults.rs
@@ -119,6 +119,8 @@
     /// A part of the commands, transactions, cloud requests and messages between controllers that were carried out and
     /// answered arrives once more, seconds to minutes later.
     RepeatRequests { until: Micros },
+    /// Agents refuse a part of the start orders for lack of room.
+    RefuseStarts { until: Micros },
 }
 
 impl Simulation {
@@ -350,7 +352,8 @@
             }
             Fault::FastBoots { until } => self.fast_boots_until = until,
             Fault::PollEverywhere { until } => self.poll_everywhere_until = until,
-            Fault::RepeatRequests { until } => self.repeat_requests(until),
+            Fault::RefuseStarts { until } => self.refuse_starts_until = until,
+            Fault::RepeatRequests { until } => self.repeat_requests_until = until,
             Fault::InvalidRequests { until } => {
                 self.invalid_requests_until = until;
                 self.schedule_at(self.now, Event::InvalidRequest);
--- a/crates/seamfront-testing/src/simulation/machines.rs
+++ b/crates/seamfront-testing/src/simulation/machines.rs
@@ -47,6 +47,8 @@
     pub other_attempts: BTreeMap<(TaskKey, u64), Exit>,
     /// Number of start orders that were accepted, for an attempt that the agent did not know.
     pub starts_accepted: u64,
+    /// All attempts that were refused, also after they were forgotten.
+    pub refused_attempts: BTreeSet<(TaskKey, u64)>,
     /// When the heartbeat was sent whose answer last renewed the lease.
     pub lease_renewed_at: Micros,
     /// Since when heartbeats have been answered without a gap of more than 6 s.
@@ -68,7 +70,7 @@
     }
 
     /// Whether the agent holds this attempt in any state, refused and exited ones included.
-    fn holds(&self, task: &TaskKey, attempt: u64) -> bool {
+    pub fn holds(&self, task: &TaskKey, attempt: u64) -> bool {
         self.tasks.get(task).is_some_and(|t| t.attempt == attempt)
             || self.other_attempts.contains_key(&(task.clone(), attempt))
     }
@@ -164,7 +166,8 @@
         now: Micros,
         id: &MachineId,
         orders: &[Order],
-        fetch: impl Fn(&JobSpec) -> (Micros, bool),
+        fetch_time: Micros,
+        refuse_starts: bool,
     ) {
         for o in orders {
             let machine = self.machines.get_mut(id).unwrap();
@@ -185,17 +188,18 @@
                         Some(_) => {
                             let refused = (task.clone(), *attempt);
                             let exit = Exit::OtherAttemptPresent;
+                            machine.refused_attempts.insert(refused.clone());
                             machine.other_attempts.insert(refused, exit);
                             continue;
                         }
                         None => {}
                     }
-                    let state = if free.fits(spec.task_resources) < 1 {
+                    let state = if refuse_starts || free.fits(spec.task_resources) < 1 {
+                        machine.refused_attempts.insert((task.clone(), *attempt));
                         TaskState::Exited(Exit::NoRoom)
                     } else {
                         TaskState::Fetching
                     };
-                    let (fetch_time, _) = fetch(spec);
                     let t = Task {
                         attempt: *attempt,
                         state,
@@ -258,7 +262,7 @@
         }
     }
 
-    fn tasks_of_job<'a>(
+    pub fn tasks_of_job<'a>(
         &'a self,
         job: &'a JobId,
     ) -> impl Iterator<Item = (&'a MachineId, &'a Machine, u32, &'a Task)> {
--- a/crates/seamfront-testing/src/simulation/mod.rs
+++ b/crates/seamfront-testing/src/simulation/mod.rs
@@ -20,7 +20,7 @@
 use machines::{GroundTruth, Machine};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use repeats::RepeatedRequest;
+use repeats::{RepeatedCommand, RepeatedRequest};
 use seamfront_core::port::{
     Answer, CallId, ClientRequestId, CloudReply, CloudRequest, Command, DirectOutcome, Effect,
     Heartbeat, JobState, ListedMachine, ListedState, Order, PeerMessage, StoreReply, StoreRequest,
@@ -235,6 +235,7 @@
     lose_commit_answers_until: Micros,
     keep_heartbeats_until: Micros,
     repeat_requests_until: Micros,
+    refuse_starts_until: Micros,
     /// Copies of heartbeats, with the times they were sent, to be delivered when a claim is acquired next.
     kept_heartbeats: Vec<(Micros, Heartbeat)>,
     fast_boots_until: Micros,
@@ -473,6 +474,7 @@
             lose_commit_answers_until: Micros::ZERO,
             keep_heartbeats_until: Micros::ZERO,
             repeat_requests_until: Micros::ZERO,
+            refuse_starts_until: Micros::ZERO,
             kept_heartbeats: Vec::new(),
             fast_boots_until: Micros::ZERO,
             bad_boots: BadBoots::default(),
@@ -554,6 +556,7 @@
             tasks: BTreeMap::new(),
             other_attempts: BTreeMap::new(),
             starts_accepted: 0,
+            refused_attempts: BTreeSet::new(),
             lease_renewed_at: up_at,
             steady_since: up_at,
             target_controller: self.rng.random_range(0..self.scale.controllers),
--- a/crates/seamfront-testing/src/simulation/network.rs
+++ b/crates/seamfront-testing/src/simulation/network.rs
@@ -2,7 +2,8 @@
 
 use super::{
     ms, CallId, ClientRequestId, Command, DirectOutcome, Event, HeartbeatAnswer, Machine,
-    MachineId, Micros, Order, PendingRequest, RepeatedRequest, Resources, RngExt, Simulation,
+    MachineId, Micros, Order, PendingRequest, RepeatedCommand, RepeatedRequest, Resources, RngExt,
+    Simulation,
 };
 
 impl Simulation {
@@ -63,7 +64,7 @@
 
     /// Whether the process that sent a command has ended, or a claim with a higher version than its fencing token has
     /// been acquired since.
-    fn sent_by_former_holder(
+    pub(super) fn sent_by_former_holder(
         &self,
         controller: usize,
         generation: u64,
@@ -273,9 +274,10 @@
     }
 
     pub(super) fn apply_orders(&mut self, id: &MachineId, orders: &[Order]) {
-        let fetch = ms(self.rng.random_range(50..3_000));
+        let fetch_time = ms(self.rng.random_range(50..3_000));
+        let refuse_starts = self.now < self.refuse_starts_until && self.rng.random_range(0..3) == 0;
         self.ground_truth
-            .apply_orders(self.now, id, orders, |_| (fetch, true));
+            .apply_orders(self.now, id, orders, fetch_time, refuse_starts);
     }
 
     pub(super) fn deliver_orders(
@@ -386,11 +388,17 @@
         }
         let heartbeat = self.ground_truth.heartbeat(&id);
         if !late {
-            self.maybe_repeat(|| RepeatedRequest::Command {
-                machine: id.clone(),
-                incarnation,
-                fencing_token,
-                orders,
+            let sent = self.now;
+            self.maybe_repeat(|| {
+                RepeatedRequest::Command(RepeatedCommand {
+                    controller,
+                    generation,
+                    sent,
+                    machine: id.clone(),
+                    incarnation,
+                    fencing_token,
+                    orders,
+                })
             });
             let outcome = DirectOutcome::Settled {
                 heartbeat: Box::new(heartbeat),
--- a/crates/seamfront-testing/src/simulation/repeats.rs
+++ b/crates/seamfront-testing/src/simulation/repeats.rs
@@ -2,8 +2,8 @@
 //! carried out and answered arrives once more, seconds to minutes later. Nobody waits for the answer to a copy.
 
 use super::{
-    ms, CloudRequest, Command, Event, MachineId, Micros, Order, PeerMessage, RngExt, Simulation,
-    StoreReply, StoreRequest, Write,
+    ms, CloudRequest, Command, Event, JobKind, MachineId, Micros, Order, PeerMessage, RngExt,
+    Simulation, StoreReply, StoreRequest, TaskKey, TaskState, Write,
 };
 
 /// One in so many commands, transactions and cloud requests is repeated.
@@ -14,16 +14,26 @@
 const SHORT_DELAY_MS: std::ops::Range<i64> = 300..10_000;
 const LONG_DELAY_MS: std::ops::Range<i64> = 10_000..150_000;
 
+/// From this age on, a copy counts as one that comes late.
+const LATE_COPY: Micros = Micros::from_secs(60);
+
+/// A direct command that was carried out and answered.
+#[derive(Clone, Debug)]
+pub(super) struct RepeatedCommand {
+    pub(super) controller: usize,
+    /// The process that sent it.
+    pub(super) generation: u64,
+    pub(super) sent: Micros,
+    pub(super) machine: MachineId,
+    pub(super) incarnation: u64,
+    pub(super) fencing_token: u64,
+    pub(super) orders: Vec<Order>,
+}
+
 /// A request that was carried out, to be carried out once more.
 #[derive(Clone, Debug)]
 pub(super) enum RepeatedRequest {
-    /// A direct command.
-    Command {
-        machine: MachineId,
-        incarnation: u64,
-        fencing_token: u64,
-        orders: Vec<Order>,
-    },
+    Command(RepeatedCommand),
     /// A transaction, or the grant of a lease.
     Store {
         controller: usize,
@@ -69,12 +79,7 @@
     /// Carries out a copy.
     pub(super) fn repeat(&mut self, request: RepeatedRequest) {
         match request {
-            RepeatedRequest::Command {
-                machine,
-                incarnation,
-                fencing_token,
-                orders,
-            } => self.repeat_command(&machine, incarnation, fencing_token, &orders),
+            RepeatedRequest::Command(command) => self.repeat_command(command),
             RepeatedRequest::Store {
                 controller,
                 request,
@@ -96,15 +101,10 @@
     }
 
     /// A machine that hangs carries the copy out when it goes on.
-    fn repeat_command(
-        &mut self,
-        id: &MachineId,
-        incarnation: u64,
-        fencing_token: u64,
-        orders: &[Order],
-    ) {
+    fn repeat_command(&mut self, command: RepeatedCommand) {
         let now = self.now;
-        let Some(machine) = self.ground_truth.machines.get_mut(id) else {
+        let id = command.machine.clone();
+        let Some(machine) = self.ground_truth.machines.get(&id) else {
             return;
         };
         if machine.dead {
@@ -112,26 +112,86 @@
         }
         if machine.hung_until > now {
             let delay = machine.hung_until - now + ms(1);
-            let copy = RepeatedRequest::Command {
-                machine: id.clone(),
-                incarnation,
-                fencing_token,
-                orders: orders.to_vec(),
-            };
+            let copy = RepeatedRequest::Command(command);
             return self.schedule_after(delay, Event::Repeated(Box::new(copy)));
         }
-        if fencing_token < machine.fencing_token || incarnation != machine.incarnation {
-            return self.cover("a repeated command was refused");
-        }
-        machine.fencing_token = fencing_token;
+        let (token_seen, incarnation) = (machine.fencing_token, machine.incarnation);
         let starts_before = machine.starts_accepted;
-        self.apply_orders(id, orders);
+        self.cover_copied_command(&command);
+        if command.incarnation != incarnation {
+            return self.cover("a repeated command was refused for its incarnation");
+        }
+        if command.fencing_token < token_seen {
+            return self.cover("a repeated command was refused for its token");
+        }
+        if let Some(machine) = self.ground_truth.machines.get_mut(&id) {
+            machine.fencing_token = command.fencing_token;
+        }
+        self.apply_orders(&id, &command.orders);
         self.cover("a repeated command was carried out");
-        if self.ground_truth.machines[id].starts_accepted > starts_before {
+        if self.ground_truth.machines[&id].starts_accepted > starts_before {
             self.cover("a repeated command started a task again");
         }
     }
 
+    /// Counts the situations in which copies of commands arrive.
+    fn cover_copied_command(&mut self, command: &RepeatedCommand) {
+        if self.now - command.sent >= LATE_COPY {
+            self.cover("a copy came more than a minute later");
+        }
+        let RepeatedCommand {
+            controller,
+            generation,
+            fencing_token,
+            ..
+        } = *command;
+        if self.sent_by_former_holder(controller, generation, fencing_token) {
+            self.cover("a copy of a former holder's command arrived");
+        }
+        for order in &command.orders {
+            if let Order::Start { task, attempt } = order {
+                self.cover_copied_start(&command.machine, task, *attempt);
+            }
+        }
+    }
+
+    fn cover_copied_start(&mut self, id: &MachineId, task: &TaskKey, attempt: u64) {
+        let truth = &self.ground_truth;
+        let machine = &truth.machines[id];
+        let held = machine.holds(task, attempt);
+        let state = machine.tasks.get(task).map(|t| t.state);
+        let refused = machine.refused_attempts.contains(&(task.clone(), attempt));
+        let spec = &truth.jobs[&task.job];
+        let present: Vec<_> = truth
+            .tasks_of_job(&task.job)
+            .filter(|(_, _, _, t)| t.on_machine() && !held)
+            .collect();
+        let elsewhere = present.iter().any(|(_, _, index, _)| *index == task.index);
+        let gang_again =
+            spec.kind == JobKind::Gang && present.iter().any(|(_, _, _, t)| t.attempt != attempt);
+        let other_zone = spec.one_zone
+            && present
+                .iter()
+                .any(|(_, other, _, _)| other.zone != machine.zone);
+        let cancelled = truth.cancelled.contains_key(&task.job);
+        for (reached, what) in [
+            (!held, "a copy named a forgotten attempt"),
+            (elsewhere, "a copy named a task that was on another machine"),
+            (gang_again, "a copy named an old attempt of a gang"),
+            (other_zone, "a copy named a job that was in another zone"),
+            (refused && !held, "a copy named an attempt that was refused"),
+            (cancelled && !held, "a copy named a task of a cancelled job"),
+            (
+                state == Some(TaskState::Saving),
+                "a copy named a task that was saving",
+            ),
+        ] {
+            if reached {
+                self.cover(what);
+            }
+        }
+    }
+
     fn repeat_in_store(&mut self, controller: usize, request: &StoreRequest) {
         if self.store_outage_until > self.now {
             return;
@@ -139,6 +199,9 @@
         self.expire_leases();
         let reply = self.execute_in_store(controller, request);
         if let StoreRequest::CompareAndSwap { writes, .. } = request {
+            for write in writes {
+                self.cover(repeated_write(write));
+            }
             match reply {
                 Some(StoreReply::Committed { .. }) => self.cover_repeated_writes(writes),
                 _ => self.cover("a repeated transaction failed"),
@@ -160,9 +223,26 @@
             }
         }
     }
+}
 
-    /// When copies stop being made.
-    pub(super) fn repeat_requests(&mut self, until: Micros) {
-        self.repeat_requests_until = until;
+/// The coverage counter of transactions with this write.
+fn repeated_write(write: &Write) -> &'static str {
+    let (Write::Put { key, .. } | Write::Delete { key }) = write;
+    let put = matches!(write, Write::Put { .. });
+    match (key.split('/').next().unwrap_or_default(), put) {
+        ("job", true) => "the acceptance of a job was repeated",
+        ("end", true) => "the end of a job was repeated",
+        ("work", true) => "the write of a work record was repeated",
+        ("work", false) => "the removal of a work record was repeated",
+        ("machine", true) => "the write of a machine record was repeated",
+        ("machine", false) => "the removal of a machine record was repeated",
+        ("rent", true) => "the write of a provisioning record was repeated",
+        ("rent", false) => "the removal of a provisioning record was repeated",
+        ("types", _) => "the write of machine types was repeated",
+        ("format", _) => "the write of a format version was repeated",
+        ("share" | "leader", true) => "the acquisition of a claim was repeated",
+        ("share" | "leader", false) => "the transfer of a claim was repeated",
+        ("duty", _) => "a write for a duty was repeated",
+        _ => "another write was repeated",
     }
 }
