--- /dev/null
+++ b/review/harness-2/src/cases.rs
@@ -0,0 +1,317 @@
+//! The cases.
+
+use crate::deploy::{Deployment, Plan};
+use crate::store::Limits;
+use crate::world::{Job, MachineType, Times};
+use std::collections::BTreeMap;
+use std::path::Path;
+
+/// What a case found.
+pub enum Outcome {
+    Held,
+    Broken(String),
+    CouldNotRun(String),
+}
+
+use Outcome::{Broken, CouldNotRun, Held};
+
+pub fn play(case: &str, root: &Path, folder: &Path, trouble: bool) -> i32 {
+    let (plan, test): (Plan, fn(&mut Deployment, bool) -> Outcome) = match case {
+        "reserved" => (bakery(), reserved),
+        "quarantined" => (choir(vec![("maqam", "qahira", false)]), quarantined),
+        "blocked" => (choir_of_three(), blocked),
+        "crowded" => (Plan { machines: vec![("forno-grande", "serra", false)], ..bakery() }, crowded),
+        "explore" => (crate::explore::plan(), crate::explore::play),
+        _ => {
+            println!("no such case: {case}");
+            return 2;
+        }
+    };
+    let mut deployment = Deployment::start(&plan, root);
+    if case != "explore" && hold() < 100.0 {
+        let (world, own) = (deployment.world.clone(), deployment.folder.clone());
+        crate::deploy::limit(117, world, folder.join("record.txt"), own);
+    }
+    let mut outcome = if deployment.wait_until_up() {
+        test(&mut deployment, trouble)
+    } else {
+        CouldNotRun("the controllers are not up".into())
+    };
+    let ended = deployment.ended();
+    deployment.end();
+    let broken = deployment.locked(|world| world.broken.clone());
+    if let Some(first) = broken.first() {
+        outcome = Broken(first.clone());
+    }
+    if !ended.is_empty() {
+        deployment.note(format!("controllers that ended by themselves: {ended:?}"));
+    }
+    let (status, line) = match outcome {
+        Held => (0, "the rule held".to_owned()),
+        Broken(why) => (1, format!("the rule was broken: {why}")),
+        CouldNotRun(why) => (2, format!("the case couldn't run: {why}")),
+    };
+    deployment.note(line.clone());
+    let record = deployment.locked(|world| world.record.join("\n"));
+    let _ = std::fs::write(folder.join("record.txt"), record + "\n");
+    println!("{case}, trouble {trouble}: {line}");
+    status
+}
+
+/// The machine types of panifica-sul.
+fn bakery_types() -> Vec<MachineType> {
+    let kind = |name, cores, accelerators, ram_gb, hourly, spot_price, boot_s, zones| MachineType {
+        name, cores, accelerators, ram_gb, hourly, spot_price, boot_s, cache_gb: 35.0, fetch_gb_per_s: 0.25, zones,
+    };
+    vec![
+        kind("forninho", 4.0, 0.0, 16.0, 0.22, 0.09, 50.0, &["serra", "litoral"] as &[&str]),
+        kind("masseira", 24.0, 4.0, 96.0, 10.25, 3.96, 45.0, &["litoral"]),
+        kind("forno-grande", 64.0, 8.0, 256.0, 23.96, 9.87, 50.0, &["serra", "litoral"]),
+    ]
+}
+
+/// panifica-sul with one team and a few machines up at the start.
+pub fn bakery() -> Plan {
+    Plan {
+        controllers: 3,
+        zones: &["serra", "litoral"],
+        teams: vec![("equipe-plantao-00", 0.0, 0.0, 8.0, 35.0)],
+        types: bakery_types(),
+        capacity: BTreeMap::from([
+            (("forninho", "serra", false), 18),
+            (("forninho", "litoral", false), 14),
+            (("forninho", "serra", true), 7),
+            (("forninho", "litoral", true), 5),
+            (("masseira", "litoral", false), 1),
+            (("forno-grande", "serra", false), 2),
+            (("forno-grande", "litoral", false), 1),
+        ]),
+        machines: vec![("forninho", "serra", false), ("forninho", "serra", false)],
+        times: Times { report_s: 3.0, lease_s: 26.0, gang_wait_s: 35.0, gang_peer_s: 5.0, cancel_s: 46.0, list_lag_s: 10.0 },
+        limits: Limits { rps: 250.0, write_rps: 80.0, value_kb: 32, txn_ops: 48 },
+        cloud_rps: 6.0,
+        sockets: 3500,
+    }
+}
+
+/// nagham-jadwal with these machines up at the start.
+pub fn choir(machines: Vec<(&'static str, &'static str, bool)>) -> Plan {
+    let kind = |name, cores, accelerators, ram_gb, hourly, spot_price, boot_s, cache_gb| MachineType {
+        name, cores, accelerators, ram_gb, hourly, spot_price, boot_s, cache_gb, fetch_gb_per_s: 0.3, zones: &["qahira", "iskandariya"],
+    };
+    Plan {
+        controllers: 3,
+        zones: &["qahira", "iskandariya"],
+        teams: vec![
+            ("fariq-amaliyat", 152.0, 504.0, 8.0, 40.0),
+            ("fariq-kurat", 72.0, 256.0, 8.0, 16.0),
+            ("fariq-firaq", 112.0, 376.0, 8.0, 40.0),
+            ("fariq-sawtiyat", 152.0, 256.0, 8.0, 32.0),
+        ],
+        types: vec![
+            kind("maqam", 16.0, 0.0, 32.0, 1.1, 0.3, 20.0, 40.0),
+            kind("watar", 12.0, 2.0, 48.0, 6.06, 1.58, 45.0, 80.0),
+        ],
+        capacity: BTreeMap::from([
+            (("maqam", "qahira", false), 12),
+            (("maqam", "iskandariya", false), 12),
+            (("maqam", "qahira", true), 6),
+            (("maqam", "iskandariya", true), 6),
+            (("watar", "qahira", false), 6),
+            (("watar", "iskandariya", false), 6),
+        ]),
+        machines,
+        times: Times { report_s: 2.0, lease_s: 14.0, gang_wait_s: 35.0, gang_peer_s: 5.0, cancel_s: 44.0, list_lag_s: 10.0 },
+        limits: Limits { rps: 250.0, write_rps: 100.0, value_kb: 32, txn_ops: 48 },
+        cloud_rps: 5.0,
+        sockets: 1200,
+    }
+}
+
+/// nagham-jadwal with three spot machines with accelerators, and no more of them to be had.
+fn choir_of_three() -> Plan {
+    let mut plan = choir(vec![("watar", "qahira", true); 3]);
+    plan.capacity.retain(|key, _| key.0 == "maqam");
+    plan.capacity.insert(("watar", "qahira", true), 3);
+    plan
+}
+
+/// How long a job may wait while a machine that fits has room.
+fn hold() -> f64 {
+    std::env::var("HOLD_S").ok().and_then(|text| text.parse().ok()).unwrap_or(90.2)
+}
+
+/// Waits until a job is done and asks for it every 5 s, as its user does.
+fn done_in_time(d: &mut Deployment, id: &str) -> bool {
+    let mut next = 0.0;
+    d.wait_for(&format!("{id} done"), hold(), |d| {
+        if d.seconds() >= next {
+            next = d.seconds() + 5.0;
+            d.poll(id);
+        }
+        done(d, id)
+    })
+}
+
+/// Whether all tasks of a job are done.
+fn done(d: &Deployment, id: &str) -> bool {
+    let job = d.job(id);
+    job.done.len() as u32 == job.tasks
+}
+
+/// Waits until the job has started, as seen on the machines.
+fn started(d: &mut Deployment, id: &str, seconds: f64) -> bool {
+    d.wait_for(&format!("{id} started"), seconds, |d| d.job(id).starts > 0)
+}
+
+fn reserved(d: &mut Deployment, trouble: bool) -> Outcome {
+    // Until the machines that are up belong to shards and have shown their tokens.
+    d.wait(5.0);
+    let team = "equipe-plantao-00";
+    let mut service = Job::new("j-000001", team, "service", 1, 2.0, 4.9);
+    service.class = "pedido-vivo".into();
+    if d.submit(service) >= 300 || !started(d, "j-000001", 20.0) {
+        return CouldNotRun("the service did not start".into());
+    }
+    if trouble {
+        d.locked(|w| {
+            let idle = w.machines.values().find(|m| m.tasks.is_empty() && m.gone.is_none()).map(|m| m.id.clone());
+            if let Some(id) = idle {
+                w.machines.get_mut(&id).unwrap().died = true;
+                w.remove_machine(&id, "TROUBLE: it stops with all that is on it");
+            }
+        });
+    }
+    d.wait(15.0);
+    let mut invoices = Job::new("j-000002", team, "array", 1, 1.0, 2.7);
+    (invoices.class, invoices.image) = ("fatura-noite".into(), "img-2".into());
+    if d.submit(invoices) >= 300 {
+        return CouldNotRun("the array was not accepted".into());
+    }
+    if done_in_time(d, "j-000002") {
+        return Held;
+    }
+    match d.locked(|w| w.has_room("j-000002")) {
+        Some(machine) => Broken(format!("j-000002 waited for 90 s while {machine} had room")),
+        None => CouldNotRun("no machine had room".into()),
+    }
+}
+
+fn quarantined(d: &mut Deployment, trouble: bool) -> Outcome {
+    // Until the machine that is up belongs to a shard and has shown its token.
+    d.wait(5.0);
+    let team = "fariq-amaliyat";
+    let mut service = Job::new("j-000001", team, "service", 3, 1.0, 1.0);
+    service.class = "hagz-qaat".into();
+    if d.submit(service) >= 300 || !started(d, "j-000001", 40.0) {
+        return CouldNotRun("the service did not start".into());
+    }
+    let archive = |number: usize, mistake_s: Option<f64>| {
+        let mut job = Job::new(&format!("j-{number:06}"), team, "array", 1, 1.0, 1.6);
+        (job.class, job.image, job.run_s, job.mistake_s) = ("ard-arshif".into(), "img-2".into(), 0.3, mistake_s);
+        job
+    };
+    // Two jobs of fifty are submitted with a mistake, and both are cancelled by their users.
+    for number in 100..148 {
+        if d.submit(archive(number, None)) >= 300 {
+            return CouldNotRun("a job was not accepted".into());
+        }
+    }
+    let all = |d: &Deployment, numbers: std::ops::Range<usize>| numbers.clone().all(|n| done(d, &format!("j-{n:06}")));
+    if !d.wait_for("the first 48 jobs done", 30.0, |d| all(d, 100..148)) {
+        return CouldNotRun("the first jobs were not done".into());
+    }
+    for number in 148..150 {
+        d.submit(archive(number, trouble.then_some(0.3)));
+    }
+    let tried = |d: &Deployment| (148..150).all(|n| d.job(&format!("j-{n:06}")).starts > 0);
+    if !d.wait_for("the two jobs tried", 10.0, |d| tried(d)) {
+        return CouldNotRun("the two jobs did not start".into());
+    }
+    d.wait(1.5);
+    if trouble {
+        d.cancel("j-000148");
+        d.cancel("j-000149");
+    }
+    if d.submit(archive(200, None)) >= 300 {
+        return CouldNotRun("the last job was not accepted".into());
+    }
+    if done_in_time(d, "j-000200") {
+        return Held;
+    }
+    match d.locked(|w| w.has_room("j-000200")) {
+        Some(machine) => Broken(format!("j-000200 waited for 90 s while {machine} had room")),
+        None => CouldNotRun("no machine had room".into()),
+    }
+}
+
+fn crowded(d: &mut Deployment, trouble: bool) -> Outcome {
+    d.wait(6.0);
+    let team = "equipe-plantao-00";
+    // An ordinary job on the same machine, whose task runs for longer than a lease.
+    let mut notes = Job::new("j-000001", team, "array", 1, 4.0, 14.0);
+    (notes.class, notes.types) = ("arquivo-notas".into(), Some(vec!["forno-grande"]));
+    (notes.run_s, notes.estimate_s) = (40.0, 40.0);
+    if d.submit(notes) >= 300 || !started(d, "j-000001", 40.0) {
+        return CouldNotRun("the first job did not start".into());
+    }
+    // A sweep of many small tasks.
+    let mut sweep = Job::new("j-000002", team, "array", if trouble { 1_500 } else { 300 }, 0.03, 0.1);
+    (sweep.class, sweep.types, sweep.image) = ("varredura-safra".into(), Some(vec!["forno-grande"]), "img-2".into());
+    (sweep.run_s, sweep.estimate_s, sweep.priority) = (30.0, 30.0, "best_effort");
+    if d.submit(sweep) >= 300 {
+        return CouldNotRun("the sweep was not accepted".into());
+    }
+    let held = d.wait_for("both jobs done", 100.0, |d| {
+        if (d.seconds() * 10.0) as u64 % 50 == 0 {
+            d.poll("j-000001");
+            d.poll("j-000002");
+        }
+        done(d, "j-000001") && d.poll("j-000002").is_some_and(|a| a.1.get("ponto").str() == "done")
+    });
+    let lost = d.job("j-000001").losses;
+    let sweep = d.job("j-000002");
+    d.note(format!("j-000001: {lost} times killed; j-000002: {} starts, {} tasks done on the machine", sweep.starts, sweep.done.len()));
+    if held {
+        Held
+    } else if lost >= 2 {
+        Broken("all tasks of the machine are killed again and again; neither job ends".into())
+    } else {
+        CouldNotRun("the jobs are slow".into())
+    }
+}
+
+fn blocked(d: &mut Deployment, trouble: bool) -> Outcome {
+    d.wait(6.0);
+    let training = |id: &str, tasks: u32, run_s: f64| {
+        let mut job = Job::new(id, "fariq-firaq", "group", tasks, 10.0, 38.0);
+        (job.class, job.accelerators, job.priority, job.types) = ("tadrib-sawt".into(), 2.0, "urgent", Some(vec!["watar"]));
+        (job.one_zone, job.spot, job.run_s, job.estimate_s) = (true, true, run_s, run_s);
+        job
+    };
+    if d.submit(training("j-000001", 3, 20.0)) >= 300 {
+        return CouldNotRun("the gang of three was not accepted".into());
+    }
+    if !d.wait_for("j-000001 runs", 40.0, |d| d.job("j-000001").starts >= 3) {
+        return CouldNotRun("the gang of three did not start".into());
+    }
+    if trouble {
+        d.locked(|w| {
+            let taken = w.machines.values().filter(|m| m.gone.is_none()).map(|m| m.id.clone()).next_back().unwrap_or_default();
+            // The cloud takes it since it has none left: no other can be rented.
+            w.capacity.insert(("watar", "qahira", true), 2);
+            w.remove_machine(&taken, "TROUBLE: the cloud takes it back without notice");
+        });
+    }
+    d.wait(8.0);
+    if d.submit(training("j-000002", 1, 5.0)) >= 300 {
+        return CouldNotRun("the gang of one was not accepted".into());
+    }
+    if done_in_time(d, "j-000002") {
+        return Held;
+    }
+    match d.locked(|w| w.has_room("j-000002")) {
+        Some(machine) => Broken(format!("j-000002 waited for 90 s while {machine} had room")),
+        None => CouldNotRun("no machine had room".into()),
+    }
+}
