--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -21,6 +21,7 @@
         "quarantined" => (choir(vec![("maqam", "qahira", false)]), quarantined),
         "blocked" => (choir_of_three(), blocked),
         "crowded" => (Plan { machines: vec![("forno-grande", "serra", false)], ..bakery() }, crowded),
+        "avoided" => (choir(vec![("maqam", "qahira", false)]), avoided),
         "explore" => (crate::explore::plan(), crate::explore::play),
         _ => {
             println!("no such case: {case}");
@@ -323,3 +324,27 @@
         None => CouldNotRun("no machine had room".into()),
     }
 }
+
+fn avoided(d: &mut Deployment, trouble: bool) -> Outcome {
+    // Until the machine that is up belongs to a shard and has shown its token.
+    d.wait(5.0);
+    let team = "fariq-amaliyat";
+    let mut service = Job::new("j-000001", team, "service", 3, 1.0, 1.0);
+    service.class = "hagz-qaat".into();
+    if d.submit(service) >= 300 || !started(d, "j-000001", 20.0) {
+        return CouldNotRun("the service did not start".into());
+    }
+    let mut archive = Job::new("j-000002", team, "array", 1, 2.0, 3.0);
+    (archive.class, archive.image, archive.fault_s) = ("ard-arshif".into(), "img-2".into(), trouble.then_some(0.5));
+    if d.submit(archive) >= 300 || !started(d, "j-000002", 20.0) {
+        return CouldNotRun("the array did not start".into());
+    }
+    d.wait(1.0);
+    if done_in_time(d, "j-000002") {
+        return Held;
+    }
+    match d.locked(|w| w.has_room("j-000002")) {
+        Some(machine) => Broken(format!("j-000002 waited for 90 s while {machine} had room")),
+        None => CouldNotRun("no machine had room".into()),
+    }
+}
