--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -2,9 +2,12 @@
 
 use crate::deploy::{Deployment, Plan};
 use crate::store::Limits;
-use crate::world::{Job, MachineType, Times};
+use crate::world::{Job, MachineType, Shared, Times};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 /// What a case found.
 pub enum Outcome {
@@ -17,11 +20,11 @@
 
 pub fn play(case: &str, root: &Path, folder: &Path, trouble: bool) -> i32 {
     let (plan, test): (Plan, fn(&mut Deployment, bool) -> Outcome) = match case {
-        "reserved" => (bakery(), reserved),
         "quarantined" => (choir(vec![("maqam", "qahira", false)]), quarantined),
         "blocked" => (choir_of_three(), blocked),
         "crowded" => (Plan { machines: vec![("forno-grande", "serra", false)], ..bakery() }, crowded),
-        "avoided" => (choir(vec![("maqam", "qahira", false)]), avoided),
+        "pipelines" => (choir_without_room(), pipelines),
+        "called_queued" => (choir(vec![("maqam", "qahira", false); 4]), called_queued),
         "explore" => (crate::explore::plan(), crate::explore::play),
         _ => {
             println!("no such case: {case}");
@@ -99,6 +102,8 @@
         limits: Limits { rps: 250.0, write_rps: 80.0, value_kb: 32, txn_ops: 48 },
         cloud_rps: 6.0,
         sockets: 3500,
+        core_share: 0.24,
+        ram_mb: 200.0,
     }
 }
 
@@ -133,6 +138,8 @@
         limits: Limits { rps: 250.0, write_rps: 100.0, value_kb: 32, txn_ops: 48 },
         cloud_rps: 5.0,
         sockets: 1200,
+        core_share: 0.08,
+        ram_mb: 72.0,
     }
 }
 
@@ -144,6 +151,19 @@
     plan
 }
 
+/// nagham-jadwal-next with no machine to be had: what is submitted waits.
+fn choir_without_room() -> Plan {
+    let mut plan = choir(Vec::new());
+    plan.teams = vec![
+        ("fariq-amaliyat", 1200.0, 7000.0, 90.0, 300.0),
+        ("fariq-kurat", 600.0, 2000.0, 40.0, 120.0),
+        ("fariq-firaq", 900.0, 3000.0, 70.0, 300.0),
+        ("fariq-sawtiyat", 1200.0, 2000.0, 90.0, 250.0),
+    ];
+    plan.capacity.clear();
+    plan
+}
+
 /// How long a job may wait while a machine that fits has room.
 fn hold() -> f64 {
     std::env::var("HOLD_S").ok().and_then(|text| text.parse().ok()).unwrap_or(90.2)
@@ -172,39 +192,6 @@
     d.wait_for(&format!("{id} started"), seconds, |d| d.job(id).starts > 0)
 }
 
-fn reserved(d: &mut Deployment, trouble: bool) -> Outcome {
-    // Until the machines that are up belong to shards and have shown their tokens.
-    d.wait(5.0);
-    let team = "equipe-plantao-00";
-    let mut service = Job::new("j-000001", team, "service", 1, 2.0, 4.9);
-    service.class = "pedido-vivo".into();
-    if d.submit(service) >= 300 || !started(d, "j-000001", 20.0) {
-        return CouldNotRun("the service did not start".into());
-    }
-    if trouble {
-        d.locked(|w| {
-            let idle = w.machines.values().find(|m| m.tasks.is_empty() && m.gone.is_none()).map(|m| m.id.clone());
-            if let Some(id) = idle {
-                w.machines.get_mut(&id).unwrap().died = true;
-                w.remove_machine(&id, "TROUBLE: it stops with all that is on it");
-            }
-        });
-    }
-    d.wait(15.0);
-    let mut invoices = Job::new("j-000002", team, "array", 1, 1.0, 2.7);
-    (invoices.class, invoices.image) = ("fatura-noite".into(), "img-2".into());
-    if d.submit(invoices) >= 300 {
-        return CouldNotRun("the array was not accepted".into());
-    }
-    if done_in_time(d, "j-000002") {
-        return Held;
-    }
-    match d.locked(|w| w.has_room("j-000002")) {
-        Some(machine) => Broken(format!("j-000002 waited for 90 s while {machine} had room")),
-        None => CouldNotRun("no machine had room".into()),
-    }
-}
-
 fn quarantined(d: &mut Deployment, trouble: bool) -> Outcome {
     // Until the machine that is up belongs to a shard and has shown its token.
     d.wait(5.0);
@@ -325,26 +312,217 @@
     }
 }
 
-fn avoided(d: &mut Deployment, trouble: bool) -> Outcome {
-    // Until the machine that is up belongs to a shard and has shown its token.
+/// Most memory of a controller, as BRIEF has it.
+const RAM_MIB: f64 = 72.0;
+/// How long a process that has ended stays away.
+const BACK_AFTER: Duration = Duration::from_secs(5);
+/// A job about which no question is answered for so long counts as forgotten.
+const FORGOTTEN_S: f64 = 75.0;
+
+/// The platform's part for memory: a process over its limit is killed and started again.
+struct Platform {
+    down: Vec<Option<Instant>>,
+    ends: u32,
+    most_mib: f64,
+}
+
+impl Platform {
+    fn look(&mut self, d: &mut Deployment) {
+        for i in d.ended() {
+            d.note(format!("controller {i} ended by itself"));
+            self.down[i] = Some(Instant::now());
+        }
+        for (i, held) in d.memory_mib().into_iter().enumerate() {
+            self.most_mib = self.most_mib.max(held);
+            if held > RAM_MIB && self.down[i].is_none() {
+                d.note(format!("platform: controller {i} holds {held:.1} MiB, over its limit of {RAM_MIB}"));
+                d.kill_controller(i);
+                self.down[i] = Some(Instant::now());
+                self.ends += 1;
+            }
+            if self.down[i].is_some_and(|since| since.elapsed() >= BACK_AFTER) {
+                self.down[i] = None;
+                d.start_controller(i);
+            }
+        }
+    }
+}
+
+fn pipelines(d: &mut Deployment, trouble: bool) -> Outcome {
+    d.wait(2.0);
+    // A service of another team, about which its user asks every second from now on.
+    let mut booking = Job::new("j-000001", "fariq-kurat", "service", 3, 1.0, 1.0);
+    booking.class = "hagz-qaat".into();
+    if d.submit(booking) >= 300 {
+        return CouldNotRun("the service was not accepted".into());
+    }
+    let width = if trouble { 900 } else { 300 };
+    let first: Vec<String> = (0..width).map(|n| format!("j-{:06}", 100_000 + n)).collect();
+    let stage = |base: usize, needs: &[String]| -> Vec<Job> {
+        let job = |n: usize| {
+            let mut job = Job::new(&format!("j-{:06}", base + n), "fariq-amaliyat", "array", 1, 1.0, 1.6);
+            (job.class, job.priority, job.needs) = ("jam-tawafur".into(), "best_effort", needs.to_vec());
+            job
+        };
+        (0..width).map(job).collect()
+    };
+    let mut platform = Platform { down: vec![None; d.binds.len()], ends: 0, most_mib: 0.0 };
+    let mut users = Some(Users::submit(d, stage(100_000, &[])));
+    let (mut stages, mut burst_over) = (1, None);
+    let mut longest = 0.0f64;
+    let begun = Instant::now();
+    let last_answer = Arc::new(Mutex::new(begun));
+    ask_every_second(d, "j-000001", last_answer.clone());
+    while begun.elapsed().as_secs_f64() < 108.0 {
+        platform.look(d);
+        if let Some(group) = &users {
+            if platform.ends >= 3 {
+                // Users who have not submitted yet stay away.
+                group.jobs.lock().unwrap().clear();
+            }
+            if group.finished() || platform.ends >= 3 {
+                d.note(format!("stage {stages} submitted; most memory so far {:.1} MiB", platform.most_mib));
+                if stages == 1 && platform.ends == 0 {
+                    stages = 2;
+                    users = Some(Users::submit(d, stage(200_000, &first)));
+                } else {
+                    users = None;
+                    burst_over = Some(Instant::now());
+                }
+            }
+        }
+        std::thread::sleep(Duration::from_millis(3));
+        let Some(over) = burst_over else { continue };
+        let silent = last_answer.lock().unwrap().max(over).elapsed().as_secs_f64();
+        longest = longest.max(silent);
+        if silent >= FORGOTTEN_S {
+            return Broken(format!("no question about j-000001 was answered for 75 s; controllers were killed for memory {} times", platform.ends));
+        }
+        if platform.ends == 0 && over.elapsed().as_secs() >= 15 {
+            break;
+        }
+    }
+    d.note(format!("kills for memory: {}; most memory {:.1} MiB; longest time without an answer {longest:.1} s", platform.ends, platform.most_mib));
+    if burst_over.is_none() {
+        return CouldNotRun("the jobs were not submitted in time".into());
+    }
+    if platform.ends > 0 {
+        return CouldNotRun("controllers were killed for memory, but some question was answered".into());
+    }
+    Held
+}
+
+/// A user asks for a job every second, at one controller after the other, and waits 2 s for each answer.
+fn ask_every_second(d: &Deployment, id: &str, last_answer: Arc<Mutex<Instant>>) {
+    let (world, binds, path) = (d.world.clone(), d.binds.clone(), format!("/submissions/{id}"));
+    std::thread::spawn(move || {
+        for n in 0.. {
+            let node = n % binds.len();
+            let answer = crate::http::call(binds[node], "GET", &path, "", Duration::from_secs(2));
+            if answer.as_ref().is_some_and(|answer| answer.0 == 200) {
+                *last_answer.lock().unwrap() = Instant::now();
+            }
+            let answer = answer.map_or("no answer".to_owned(), |a| format!("{} {}", a.0, String::from_utf8_lossy(&a.1)));
+            world.lock().unwrap().note(format!("user asks at {node}: {answer}"));
+            std::thread::sleep(Duration::from_secs(1));
+        }
+    });
+}
+
+/// Users who submit jobs side by side, sixteen at a time, each with retries for up to 60 s.
+struct Users {
+    jobs: Arc<Mutex<Vec<Job>>>,
+    threads: Vec<std::thread::JoinHandle<()>>,
+}
+
+impl Users {
+    fn submit(d: &Deployment, jobs: Vec<Job>) -> Users {
+        let jobs = Arc::new(Mutex::new(jobs));
+        let user = |user: usize| {
+            let (jobs, world, binds) = (jobs.clone(), d.world.clone(), d.binds.clone());
+            std::thread::spawn(move || {
+                let mut node = user;
+                loop {
+                    let Some(job) = jobs.lock().unwrap().pop() else { return };
+                    submit_one(&world, &binds, &mut node, job);
+                }
+            })
+        };
+        let threads = (0..16).map(user).collect();
+        Users { jobs, threads }
+    }
+
+    fn finished(&self) -> bool {
+        self.threads.iter().all(|thread| thread.is_finished())
+    }
+}
+
+fn submit_one(world: &Shared, binds: &[SocketAddr], node: &mut usize, job: Job) {
+    let (id, body) = (job.id.clone(), job.body());
+    world.lock().unwrap().jobs.insert(id.clone(), job);
+    let begun = Instant::now();
+    while begun.elapsed().as_secs() < 60 {
+        *node += 1;
+        let answer = crate::http::call(binds[*node % binds.len()], "POST", "/submissions", &body, Duration::from_secs(5));
+        if let Some((status @ (200 | 201 | 400 | 422), answer)) = answer {
+            let mut world = world.lock().unwrap();
+            world.note(format!("user is told of {id}: {status} {}", String::from_utf8_lossy(&answer)));
+            if status < 300 {
+                world.jobs.get_mut(&id).unwrap().accepted = Some(Instant::now());
+            }
+            return;
+        }
+        std::thread::sleep(Duration::from_secs(1));
+    }
+}
+
+fn called_queued(d: &mut Deployment, trouble: bool) -> Outcome {
+    // Until the machines that are up belong to shards and have shown their tokens.
     d.wait(5.0);
-    let team = "fariq-amaliyat";
-    let mut service = Job::new("j-000001", team, "service", 3, 1.0, 1.0);
-    service.class = "hagz-qaat".into();
-    if d.submit(service) >= 300 || !started(d, "j-000001", 20.0) {
-        return CouldNotRun("the service did not start".into());
+    let teams = ["fariq-amaliyat", "fariq-kurat", "fariq-firaq", "fariq-sawtiyat"];
+    let ids: Vec<String> = (1..=4).map(|n| format!("j-{n:06}")).collect();
+    for (id, team) in ids.iter().zip(teams) {
+        let mut service = Job::new(id, team, "service", 3, 1.0, 1.0);
+        service.class = "hagz-qaat".into();
+        if d.submit(service) >= 300 {
+            return CouldNotRun("a service was not accepted".into());
+        }
     }
-    let mut archive = Job::new("j-000002", team, "array", 1, 2.0, 3.0);
-    (archive.class, archive.image, archive.fault_s) = ("ard-arshif".into(), "img-2".into(), trouble.then_some(0.5));
-    if d.submit(archive) >= 300 || !started(d, "j-000002", 20.0) {
-        return CouldNotRun("the array did not start".into());
+    let all_run = |d: &mut Deployment| ids.iter().all(|id| d.locked(|w| w.running(id)) == 3);
+    if !d.wait_for("all services run", 40.0, |d| all_run(d)) {
+        return CouldNotRun("the services did not start".into());
     }
-    d.wait(1.0);
-    if done_in_time(d, "j-000002") {
-        return Held;
+    d.wait(4.0);
+    let node = 1;
+    if trouble {
+        d.kill_controller(node);
+        d.wait(5.0);
+        d.start_controller(node);
     }
-    match d.locked(|w| w.has_room("j-000002")) {
-        Some(machine) => Broken(format!("j-000002 waited for 90 s while {machine} had room")),
-        None => CouldNotRun("no machine had room".into()),
+    // From 15 s after it is back: long enough for hand-backs, and five times what a state may lag.
+    if !d.wait_until_up() {
+        return CouldNotRun("the controller is not back".into());
+    }
+    d.wait(15.0);
+    let (mut wrong, mut asked) = (std::collections::BTreeMap::<String, u32>::new(), 0);
+    for _ in 0..30 {
+        for id in &ids {
+            for node in 0..d.binds.len() {
+                let before = d.locked(|w| w.running(id));
+                let answer = d.call(node, "GET", &format!("/submissions/{id}"), "", 2.0);
+                let Some((200, answer)) = answer else { continue };
+                asked += 1;
+                d.note(format!("user asks for {id} at {node}: {answer}; {before} replicas run"));
+                if answer.get("ponto").str() == "queued" && before == 3 && d.locked(|w| w.ran_for(id)) > 3.0 {
+                    *wrong.entry(format!("{id} at controller {node}")).or_default() += 1;
+                }
+            }
+        }
+        d.wait(1.0);
+    }
+    d.note(format!("{asked} answers; called queued although all replicas have run for more than 3 s: {wrong:?}"));
+    match wrong.into_iter().find(|(_, times)| *times >= 10) {
+        Some((which, times)) => Broken(format!("{which} is called queued {times} times of 30, though all its replicas run")),
+        None => Held,
     }
 }
--- a/review/harness-2/src/deploy.rs
+++ b/review/harness-2/src/deploy.rs
@@ -27,6 +27,8 @@
     pub limits: Limits,
     pub cloud_rps: f64,
     pub sockets: u32,
+    pub core_share: f64,
+    pub ram_mb: f64,
 }
 
 pub struct Deployment {
@@ -163,7 +165,7 @@
                 plan.limits.rps, plan.limits.write_rps, plan.limits.value_kb as f64, plan.limits.txn_ops
             );
             settings += &format!("[params.cloud]\nrps = {:?}\nlist_lag_s = {:?}\n\n", plan.cloud_rps, t.list_lag_s);
-            settings += &format!("[params.limits]\ncore_share = 0.24\nram_mb = 200.0\nfd_limit = {}\n", plan.sockets);
+            settings += &format!("[params.limits]\ncore_share = {:?}\nram_mb = {:?}\nfd_limit = {}\n", plan.core_share, plan.ram_mb, plan.sockets);
             let own = folder.join(member);
             std::fs::create_dir_all(&own).expect("a temporary folder");
             std::fs::write(own.join("settings.toml"), settings).expect("a settings file");
@@ -237,6 +239,16 @@
         }
     }
 
+    /// The memory that each controller holds, in MiB; 0 for one that is down.
+    pub fn memory_mib(&self) -> Vec<f64> {
+        let resident = |child: &Option<Child>| -> Option<f64> {
+            let status = std::fs::read_to_string(format!("/proc/{}/status", child.as_ref()?.id())).ok()?;
+            let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+            Some(line.trim().trim_end_matches("kB").trim().parse::<f64>().ok()? / 1_024.0)
+        };
+        self.children.iter().map(|child| resident(child).unwrap_or(0.0)).collect()
+    }
+
     /// Controllers that ended by themselves.
     pub fn ended(&mut self) -> Vec<usize> {
         let mut ended = Vec::new();
--- a/review/harness-2/src/world.rs
+++ b/review/harness-2/src/world.rs
@@ -58,13 +58,12 @@
     pub run_s: f64,
     /// It was submitted with a mistake: its tasks fail on every machine after this time.
     pub mistake_s: Option<f64>,
-    /// Its first start meets a faulty machine: the task fails after this time.
-    pub fault_s: Option<f64>,
     // ---- what became of it ----
     pub accepted: Option<Instant>,
     pub withdrawn: Option<Instant>,
     pub done: BTreeSet<u32>,
     pub starts: u32,
+    pub last_start: Option<Instant>,
     pub losses: u32,
 }
 
@@ -91,11 +90,11 @@
             needs: Vec::new(),
             run_s: 5.0,
             mistake_s: None,
-            fault_s: None,
             accepted: None,
             withdrawn: None,
             done: BTreeSet::new(),
             starts: 0,
+            last_start: None,
             losses: 0,
         }
     }
@@ -353,8 +352,7 @@
             let Some(job) = self.jobs.get(&key.0) else { continue };
             match task.state {
                 State::Running { until: Some(until) } if until <= now => {
-                    let fault = job.fault_s.is_some() && job.starts == 1;
-                    let why = if fault || job.mistake_s.is_some() { "error" } else { "done" };
+                    let why = if job.mistake_s.is_some() { "error" } else { "done" };
                     task.state = State::Exited { why };
                     m.changed = true;
                     ended.push((key.clone(), why));
@@ -393,6 +391,17 @@
         running.filter(lost).cloned().collect()
     }
 
+    /// Number of a job's tasks that run.
+    pub fn running(&self, id: &str) -> usize {
+        let tasks = self.machines.values().flat_map(|m| &m.tasks);
+        tasks.filter(|(key, task)| key.0 == id && matches!(task.state, State::Running { .. })).count()
+    }
+
+    /// For how many seconds all tasks of a service have run.
+    pub fn ran_for(&self, id: &str) -> f64 {
+        self.jobs.get(id).and_then(|job| job.last_start).map_or(0.0, |at| at.elapsed().as_secs_f64())
+    }
+
     /// Whether a task of a waiting array fits on a machine now, and its team is under its limit.
     pub fn has_room(&self, id: &str) -> Option<String> {
         let job = self.jobs.get(id)?;
@@ -443,15 +452,13 @@
         task.state = match job.kind {
             "group" => State::Gathering { since: now },
             "service" => State::Running { until: None },
-            _ => {
-                let fault_s = job.fault_s.filter(|_| job.starts == 0);
-                State::Running { until: Some(now + Duration::from_secs_f64(fault_s.or(job.mistake_s).unwrap_or(job.run_s))) }
-            }
+            _ => State::Running { until: Some(now + Duration::from_secs_f64(job.mistake_s.unwrap_or(job.run_s))) },
         };
         let name = format!("{}/{}", key.0, key.1);
         self.note(format!("task {name} attempt {attempt} starts on {id}"));
         if let Some(job) = self.jobs.get_mut(&key.0) {
             job.starts += 1;
+            job.last_start = Some(now);
         }
         let elsewhere: Vec<String> = self
             .machines
