--- a/review/harness-2/src/deploy.rs
+++ b/review/harness-2/src/deploy.rs
@@ -41,6 +41,8 @@
     program: PathBuf,
     children: Vec<Option<Child>>,
     next_node: usize,
+    /// Ends the controllers and removes the folder if this process is ended from outside.
+    guard: Option<Child>,
 }
 
 /// The processes that run now.
@@ -186,13 +188,30 @@
             program: root.join("target/release/seamfront"),
             children: (0..plan.controllers).map(|_| None).collect(),
             next_node: 0,
+            guard: None,
         };
+        deployment.guard = Command::new("sh")
+            .arg("-c")
+            .arg("while kill -0 \"$1\" 2>/dev/null; do sleep 0.3; done; [ -f \"$2/processes\" ] && kill -9 $(cat \"$2/processes\"); rm -rf \"$2\"")
+            .args(["guard", &std::process::id().to_string()])
+            .arg(&deployment.folder)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .ok();
         for i in 0..plan.controllers {
             deployment.start_controller(i);
         }
         deployment
     }
 
+    /// For the guard: the processes that run now.
+    fn write_processes(&self) {
+        let ids: Vec<String> = STARTED.lock().unwrap().iter().map(u32::to_string).collect();
+        let _ = std::fs::write(self.folder.join("processes"), ids.join(" "));
+    }
+
     /// Starts a controller, unless it runs.
     pub fn start_controller(&mut self, i: usize) {
         if self.children[i].is_some() {
@@ -211,6 +230,7 @@
         match child {
             Ok(child) => {
                 STARTED.lock().unwrap().push(child.id());
+                self.write_processes();
                 self.note(format!("controller {i} started, process {}", child.id()));
                 self.children[i] = Some(child);
             }
@@ -227,6 +247,7 @@
             let _ = child.kill();
             let _ = child.wait();
             STARTED.lock().unwrap().retain(|id| *id != child.id());
+            self.write_processes();
             self.note(format!("controller {i} killed"));
         }
     }
@@ -259,6 +280,9 @@
                 ended.push(i);
             }
         }
+        if !ended.is_empty() {
+            self.write_processes();
+        }
         ended
     }
 
@@ -361,6 +385,10 @@
         for i in 0..self.children.len() {
             self.kill_controller(i);
         }
+        if let Some(mut guard) = self.guard.take() {
+            let _ = guard.kill();
+            let _ = guard.wait();
+        }
         if std::env::var("KEEP").is_err() {
             let _ = std::fs::remove_dir_all(&self.folder);
         } else {
