--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -253,7 +253,7 @@
     // A sweep of many small tasks.
     let mut sweep = Job::new("j-000002", team, "array", if trouble { 1_500 } else { 300 }, 0.03, 0.1);
     (sweep.class, sweep.types, sweep.image) = ("varredura-safra".into(), Some(vec!["forno-grande"]), "img-2".into());
-    (sweep.run_s, sweep.estimate_s, sweep.priority) = (30.0, 30.0, "best_effort");
+    (sweep.run_s, sweep.estimate_s, sweep.priority) = (60.0, 60.0, "best_effort");
     if d.submit(sweep) >= 300 {
         return CouldNotRun("the sweep was not accepted".into());
     }
