--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -24,7 +24,7 @@
         "blocked" => (choir_of_three(), blocked),
         "crowded" => (Plan { machines: vec![("forno-grande", "serra", false)], ..bakery() }, crowded),
         "pipelines" => (choir_without_room(), pipelines),
-        "called_queued" => (choir(vec![("maqam", "qahira", false); 4]), called_queued),
+        "called_queued" => (choir([("maqam", "qahira", false), ("maqam", "iskandariya", false)].repeat(2)), called_queued),
         "explore" => (crate::explore::plan(), crate::explore::play),
         _ => {
             println!("no such case: {case}");
@@ -109,8 +109,8 @@
 
 /// nagham-jadwal with these machines up at the start.
 pub fn choir(machines: Vec<(&'static str, &'static str, bool)>) -> Plan {
-    let kind = |name, cores, accelerators, ram_gb, hourly, spot_price, boot_s, cache_gb| MachineType {
-        name, cores, accelerators, ram_gb, hourly, spot_price, boot_s, cache_gb, fetch_gb_per_s: 0.3, zones: &["qahira", "iskandariya"],
+    let kind = |name, cores, accelerators, ram_gb, hourly, spot_price, boot_s, cache_gb, fetch_gb_per_s| MachineType {
+        name, cores, accelerators, ram_gb, hourly, spot_price, boot_s, cache_gb, fetch_gb_per_s, zones: &["qahira", "iskandariya"],
     };
     Plan {
         controllers: 3,
@@ -122,16 +122,18 @@
             ("fariq-sawtiyat", 152.0, 256.0, 8.0, 32.0),
         ],
         types: vec![
-            kind("maqam", 16.0, 0.0, 32.0, 1.1, 0.3, 20.0, 40.0),
-            kind("watar", 12.0, 2.0, 48.0, 6.06, 1.58, 45.0, 80.0),
+            kind("maqam", 16.0, 0.0, 32.0, 1.1, 0.3, 20.0, 25.0, 0.2),
+            kind("watar", 12.0, 2.0, 48.0, 6.06, 1.58, 45.0, 120.0, 0.4),
         ],
         capacity: BTreeMap::from([
-            (("maqam", "qahira", false), 12),
-            (("maqam", "iskandariya", false), 12),
-            (("maqam", "qahira", true), 6),
-            (("maqam", "iskandariya", true), 6),
-            (("watar", "qahira", false), 6),
-            (("watar", "iskandariya", false), 6),
+            (("maqam", "qahira", false), 4),
+            (("maqam", "iskandariya", false), 6),
+            (("maqam", "qahira", true), 3),
+            (("maqam", "iskandariya", true), 4),
+            (("watar", "qahira", false), 5),
+            (("watar", "iskandariya", false), 8),
+            (("watar", "qahira", true), 2),
+            (("watar", "iskandariya", true), 3),
         ]),
         machines,
         times: Times { report_s: 2.0, lease_s: 14.0, gang_wait_s: 35.0, gang_peer_s: 5.0, cancel_s: 44.0, list_lag_s: 10.0 },
@@ -145,9 +147,9 @@
 
 /// nagham-jadwal with three spot machines with accelerators, and no more of them to be had.
 fn choir_of_three() -> Plan {
-    let mut plan = choir(vec![("watar", "qahira", true); 3]);
+    let mut plan = choir(vec![("watar", "iskandariya", true); 3]);
     plan.capacity.retain(|key, _| key.0 == "maqam");
-    plan.capacity.insert(("watar", "qahira", true), 3);
+    plan.capacity.insert(("watar", "iskandariya", true), 3);
     plan
 }
 
@@ -207,7 +209,9 @@
         job
     };
     // Two jobs of fifty are submitted with a mistake, and both are cancelled by their users.
+    // Jobs of one task come four a second.
     for number in 100..148 {
+        d.wait(0.25);
         if d.submit(archive(number, None)) >= 300 {
             return CouldNotRun("a job was not accepted".into());
         }
@@ -217,6 +221,7 @@
         return CouldNotRun("the first jobs were not done".into());
     }
     for number in 148..150 {
+        d.wait(0.25);
         d.submit(archive(number, trouble.then_some(0.3)));
     }
     let tried = |d: &Deployment| (148..150).all(|n| d.job(&format!("j-{n:06}")).starts > 0);
@@ -294,7 +299,7 @@
         d.locked(|w| {
             let taken = w.machines.values().filter(|m| m.gone.is_none()).map(|m| m.id.clone()).next_back().unwrap_or_default();
             // The cloud takes it since it has none left: no other can be rented.
-            w.capacity.insert(("watar", "qahira", true), 2);
+            w.capacity.insert(("watar", "iskandariya", true), 2);
             w.remove_machine(&taken, "TROUBLE: the cloud takes it back without notice");
         });
     }
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -1,4 +1,4 @@
-//! The stand-ins of the cases 4 to 8: state service, cloud, workers and users, all on loopback. One process plays one
+//! The stand-ins of the cases 4 to 6 and of more-2: state service, cloud, workers and users, all on loopback. One process plays one
 //! case against the project's own controllers, which it starts with the commands of the deploy file.
 //!
 //!     standins-2 CASE FOLDER
